--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+MODULES := core router opctl stand loads
+LINT_VERSION := v2.15.0
+GOBIN := $(CURDIR)/bin
+
+.PHONY: build test lint fmt generate run tools
+
+build:
+	GOBIN=$(GOBIN) go install ./router/cmd/... ./opctl/cmd/... ./stand/cmd/... ./loads/cmd/...
+
+test:
+	@set -e; for m in $(MODULES); do (cd $$m && go test -race -count=1 ./...); done
+
+lint: bin/golangci-lint
+	@set -e; for m in $(MODULES); do (cd $$m && go vet ./... && ../bin/golangci-lint run ./...); done
+
+fmt: bin/golangci-lint
+	@set -e; for m in $(MODULES); do (cd $$m && ../bin/golangci-lint fmt ./...); done
+
+generate:
+	cd core && protoc --go_out=. --go_opt=module=cicadastand.dev/core \
+		--go-grpc_out=. --go-grpc_opt=module=cicadastand.dev/core proto/peerpb/peer.proto
+
+run: build
+	scripts/demo.sh bin/cicada-load run -workload samples/workload.yaml -report out/report
+
+bin/golangci-lint:
+	GOBIN=$(GOBIN) GOFLAGS= GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
--- /dev/null
+++ b/core/coord/admit/queue.go
@@ -0,0 +1,102 @@
+package admit
+
+import (
+	"container/heap"
+
+	"cicadastand.dev/core/state/fleet"
+)
+
+// waiter is a request that waits for its turn.
+type waiter struct {
+	ask   Ask
+	tag   float64
+	order uint64
+	index int
+	ready chan struct{}
+	// granted is set under the gate's lock together with the closing of ready.
+	granted bool
+}
+
+// fair orders the waiters of one rank by weighted virtual finish time, so that
+// each account gets its share of the dispatches however many requests it queues.
+type fair struct {
+	heap  waiterHeap
+	clock float64
+	last  map[string]float64
+}
+
+func newFair() *fair { return &fair{last: make(map[string]float64)} }
+
+func (f *fair) push(w *waiter) {
+	start := max(f.clock, f.last[w.ask.Account])
+	w.tag = start + w.ask.Cost/w.ask.Weight
+	f.last[w.ask.Account] = w.tag
+	heap.Push(&f.heap, w)
+}
+
+func (f *fair) pop() *waiter {
+	w, _ := heap.Pop(&f.heap).(*waiter)
+	f.clock = max(f.clock, w.tag-w.ask.Cost/w.ask.Weight)
+	if len(f.heap) == 0 {
+		clear(f.last)
+		f.clock = 0
+	}
+	return w
+}
+
+func (f *fair) remove(w *waiter) {
+	if w.index >= 0 {
+		heap.Remove(&f.heap, w.index)
+	}
+}
+
+func (f *fair) len() int { return len(f.heap) }
+
+// ahead returns how many waiters would be served before a new request of an account.
+func (f *fair) ahead(a Ask) int {
+	tag := max(f.clock, f.last[a.Account]) + a.Cost/a.Weight
+	n := 0
+	for _, w := range f.heap {
+		if w.tag <= tag {
+			n++
+		}
+	}
+	return n
+}
+
+type waiterHeap []*waiter
+
+func (h waiterHeap) Len() int { return len(h) }
+
+func (h waiterHeap) Less(i, j int) bool {
+	if h[i].tag == h[j].tag {
+		return h[i].order < h[j].order
+	}
+	return h[i].tag < h[j].tag
+}
+
+func (h waiterHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push appends x; it is for container/heap.
+func (h *waiterHeap) Push(x any) {
+	w, _ := x.(*waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop removes the last waiter; it is for container/heap.
+func (h *waiterHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	last.index = -1
+	return last
+}
+
+// rankPair holds one value for each rank.
+type rankPair[T any] [2]T
+
+func (p *rankPair[T]) of(r fleet.Rank) *T { return &p[r.Index()] }
--- /dev/null
+++ b/core/coord/claim/coordinator.go
@@ -0,0 +1,284 @@
+// Package claim runs calls that may not be repeated at most once over all hosts.
+//
+// Before a call is sent, a claim for its key is appended to the platform's log.
+// The first claim in the log's order wins, and the winning attempt alone sends,
+// once. No lease and no clock is involved: a pause between winning and sending
+// is harmless because nobody else may send.
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/ledger"
+	"cicadastand.dev/core/state/stream"
+)
+
+// Log is the writing side of the platform's log.
+type Log interface {
+	// Append adds a record and returns its offset. After an error the record may
+	// stand in the log all the same.
+	Append(ctx context.Context, name string, data []byte) (uint64, error)
+}
+
+// Config says what a Coordinator works with.
+type Config struct {
+	Clock  clock.Service
+	Log    Log
+	Ledger ledger.Config
+	Logger hclog.Logger
+}
+
+// Call describes a call that may not be repeated.
+type Call struct {
+	ID      ledger.ID
+	Digest  string
+	Created time.Time
+	// Endpoint is where the call goes if the attempt wins.
+	Endpoint string
+}
+
+// Coordinator owns this host's attempts and its fold of the claims stream.
+//
+// Lock order: Coordinator.mu is a leaf; no other lock is taken while it is held.
+type Coordinator struct {
+	cfg      Config
+	mu       sync.Mutex
+	table    *ledger.Table
+	next     uint64
+	attempts map[string]*Attempt
+	changed  map[ledger.ID]chan struct{}
+	queue    []ledger.Record
+	inFlight int
+	wake     chan struct{}
+	idle     chan struct{}
+	short    bool
+	first    uint64
+}
+
+// New returns a coordinator that has read nothing.
+func New(cfg Config) *Coordinator {
+	return &Coordinator{
+		cfg:      cfg,
+		table:    ledger.New(cfg.Ledger),
+		next:     1,
+		attempts: make(map[string]*Attempt),
+		changed:  make(map[ledger.ID]chan struct{}),
+		wake:     make(chan struct{}, 1),
+		idle:     make(chan struct{}),
+	}
+}
+
+// Begin claims a call. It returns an attempt that has won, or an error that
+// says why the call must not be sent: ErrHeld, ErrDone, ErrConflict, ErrExpired
+// or ErrNotRun.
+func (c *Coordinator) Begin(ctx context.Context, call Call) (*Attempt, error) {
+	a, err := c.start(call)
+	if err != nil {
+		return nil, err
+	}
+	defer c.forget(a)
+	select {
+	case <-a.decided:
+		return c.settle(a)
+	case <-ctx.Done():
+	}
+	// The verdict may have come at the same moment; abandoning a won attempt is
+	// as good, since nothing was sent.
+	proof, _ := a.Abandon()
+	return nil, &ErrNotRun{Proof: proof, Reason: "the claim was not decided before the deadline"}
+}
+
+func (c *Coordinator) start(call Call) (*Attempt, error) {
+	rec := ledger.Record{
+		Kind:     ledger.KindClaim,
+		ID:       call.ID,
+		Attempt:  uuid.NewString(),
+		Digest:   call.Digest,
+		Created:  call.Created,
+		Endpoint: call.Endpoint,
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.short {
+		return nil, &ErrNotRun{Proof: NotRun{Attempt: rec.Attempt}, Reason: "the log keeps claims for too short a time"}
+	}
+	if err := c.refuse(rec, c.table.Judge(rec, c.cfg.Clock.Now())); err != nil {
+		return nil, err
+	}
+	a := &Attempt{owner: c, rec: rec, decided: make(chan struct{})}
+	c.attempts[rec.Attempt] = a
+	c.enqueue(rec)
+	return a, nil
+}
+
+func (c *Coordinator) settle(a *Attempt) (*Attempt, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.refuse(a.rec, a.verdict); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// refuse turns a verdict other than Won into an error; the caller holds the lock.
+func (c *Coordinator) refuse(rec ledger.Record, v ledger.Verdict) error {
+	entry, _ := c.table.Get(rec.ID)
+	switch v {
+	case ledger.Won:
+		return nil
+	case ledger.Held:
+		return &ErrHeld{ID: rec.ID}
+	case ledger.Done:
+		return &ErrDone{ID: rec.ID, Outcome: *entry.Outcome}
+	case ledger.Conflict:
+		return &ErrConflict{ID: rec.ID}
+	case ledger.Expired:
+		return &ErrExpired{ID: rec.ID}
+	default:
+		return &ErrNotRun{Proof: NotRun{Attempt: rec.Attempt}, Reason: "the claim was withdrawn"}
+	}
+}
+
+func (c *Coordinator) forget(a *Attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.attempts, a.rec.Attempt)
+}
+
+// Record appends the outcome of an attempt until the log has it.
+func (c *Coordinator) Record(id ledger.ID, attempt string, outcome ledger.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.enqueue(ledger.Record{Kind: ledger.KindOutcome, ID: id, Attempt: attempt, Outcome: &outcome})
+}
+
+// Entry returns the state of a key as this host has read it.
+func (c *Coordinator) Entry(id ledger.ID) (ledger.Entry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Get(id)
+}
+
+// Await blocks until the key is no longer held, and returns its state.
+func (c *Coordinator) Await(ctx context.Context, id ledger.ID) (ledger.Entry, error) {
+	for {
+		c.mu.Lock()
+		entry, _ := c.table.Get(id)
+		changed := c.watch(id)
+		c.mu.Unlock()
+		if entry.Phase != ledger.PhaseHeld {
+			return entry, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return entry, fmt.Errorf("wait for the outcome of %s: %w", id, ctx.Err())
+		}
+	}
+}
+
+// Stats counts what a coordinator holds.
+type Stats struct {
+	Keys     int    `json:"keys"`
+	Attempts int    `json:"attempts"`
+	Queued   int    `json:"queued"`
+	Next     uint64 `json:"next"`
+	Short    bool   `json:"retention-too-short"`
+}
+
+// Stats returns the current counts.
+func (c *Coordinator) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Stats{Keys: c.table.Len(), Attempts: len(c.attempts), Queued: len(c.queue) + c.inFlight, Next: c.next, Short: c.short}
+}
+
+func (c *Coordinator) watch(id ledger.ID) chan struct{} {
+	ch, ok := c.changed[id]
+	if !ok {
+		ch = make(chan struct{})
+		c.changed[id] = ch
+	}
+	return ch
+}
+
+// Next returns the offset of the next record to read.
+func (c *Coordinator) Next() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next
+}
+
+// Trimmed says that records before first are gone. Whether those kept go back
+// far enough shows when the first of them is read.
+func (c *Coordinator) Trimmed(first uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.first = first
+	c.next = first
+}
+
+// Apply folds records of the claims stream.
+func (c *Coordinator) Apply(records []stream.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range records {
+		if r.Offset == c.next {
+			c.next++
+			c.checkRetention(r)
+			c.fold(r)
+		}
+	}
+}
+
+// checkRetention refuses new claims while claims that are still in their window
+// may have been trimmed before this host read them.
+func (c *Coordinator) checkRetention(r stream.Record) {
+	if r.Offset == c.first {
+		c.short = true
+	}
+	if !c.short {
+		return
+	}
+	age := c.cfg.Clock.Now().Sub(r.Time)
+	if r.Offset == c.first && age >= c.cfg.Ledger.Window+c.cfg.Ledger.Skew {
+		c.short = false
+	}
+}
+
+func (c *Coordinator) fold(r stream.Record) {
+	records, err := ledger.DecodeBatch(r.Data)
+	if err != nil {
+		c.cfg.Logger.Error("claims record can't be read", "offset", r.Offset, "error", err)
+		return
+	}
+	for _, rec := range records {
+		verdict := c.table.Apply(r.Offset, r.Time, rec)
+		c.decide(rec, verdict, r.Offset)
+		if ch, ok := c.changed[rec.ID]; ok {
+			close(ch)
+			delete(c.changed, rec.ID)
+		}
+	}
+}
+
+func (c *Coordinator) decide(rec ledger.Record, verdict ledger.Verdict, offset uint64) {
+	a, ok := c.attempts[rec.Attempt]
+	if !ok || rec.Kind != ledger.KindClaim || a.phase != claiming {
+		return
+	}
+	a.verdict = verdict
+	a.phase = lost
+	if verdict == ledger.Won {
+		a.phase = won
+		a.fence = offset
+	}
+	close(a.decided)
+}
--- /dev/null
+++ b/core/coord/commit/commit.go
@@ -0,0 +1,119 @@
+// Package commit publishes changes of the configuration on the platform's log.
+package commit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/coord/follow"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/stream"
+)
+
+// Log is the writing side of the platform's log.
+type Log interface {
+	// Append adds a record and returns its offset. After an error the record may
+	// stand in the log all the same.
+	Append(ctx context.Context, name string, data []byte) (uint64, error)
+}
+
+// Config says what a Publisher works on.
+type Config struct {
+	Clock  clock.Service
+	Log    Log
+	Store  *follow.Store
+	Logger hclog.Logger
+}
+
+// Publisher appends changes and reads back what became of them.
+type Publisher struct{ cfg Config }
+
+// New returns a publisher.
+func New(cfg Config) *Publisher { return &Publisher{cfg: cfg} }
+
+// ErrUnsettled reports a change of which it is not known whether the log has it.
+type ErrUnsettled struct {
+	// ID is the record's id, by which it can be found in the history.
+	ID  string
+	Err error
+}
+
+// Error says how to find out.
+func (e *ErrUnsettled) Error() string {
+	return fmt.Sprintf("change %s may or may not be published, see the history: %v", e.ID, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrUnsettled) Unwrap() error { return e.Err }
+
+// Publish appends a change and returns its verdict once it was read back.
+// A lost answer of the log is settled by reading; the record's id makes a
+// second append harmless, since its base is stale by then.
+func (p *Publisher) Publish(ctx context.Context, change conf.Change) (conf.Verdict, error) {
+	rec := conf.Record{Kind: conf.KindChange, ID: uuid.NewString(), Change: &change}
+	data, err := rec.Encode()
+	if err != nil {
+		return conf.Verdict{}, fmt.Errorf("publish %s: %w", change.Document, err)
+	}
+	waiting, stop := context.WithCancel(ctx)
+	defer stop()
+	found := make(chan conf.Verdict, 1)
+	w := &waiter{store: p.cfg.Store, id: rec.ID, found: found}
+	go w.run(waiting)
+	for failures := 1; ; failures++ {
+		_, err := p.cfg.Log.Append(ctx, stream.Config, data)
+		if err == nil {
+			return p.await(ctx, rec.ID, found)
+		}
+		p.cfg.Logger.Warn("append failed", "change", rec.ID, "error", err)
+		sub := p.cfg.Clock.Once(follow.Backoff(failures))
+		select {
+		case v := <-found:
+			sub.Stop()
+			return v, nil
+		case <-sub.C():
+		case <-ctx.Done():
+			sub.Stop()
+			return conf.Verdict{}, &ErrUnsettled{ID: rec.ID, Err: ctx.Err()}
+		}
+	}
+}
+
+func (p *Publisher) await(ctx context.Context, id string, found <-chan conf.Verdict) (conf.Verdict, error) {
+	select {
+	case v := <-found:
+		return v, nil
+	case <-ctx.Done():
+		return conf.Verdict{}, &ErrUnsettled{ID: id, Err: ctx.Err()}
+	}
+}
+
+// waiter looks for the verdict of one record.
+type waiter struct {
+	store *follow.Store
+	id    string
+	found chan<- conf.Verdict
+}
+
+func (w *waiter) run(ctx context.Context) {
+	_ = w.store.Wait(ctx, func(s *conf.State) bool {
+		for _, v := range s.History() {
+			if v.ID == w.id {
+				w.found <- v
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// IsErrUnsettled reports whether err holds an ErrUnsettled.
+func IsErrUnsettled(err error) bool {
+	var target *ErrUnsettled
+	return errors.As(err, &target)
+}
--- /dev/null
+++ b/core/coord/health/health.go
@@ -0,0 +1,263 @@
+// Package health tracks what this host knows of each endpoint: its reports, the
+// work that this host has there, failures, and whether it is leaving.
+package health
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// State is what an endpoint may be used for.
+type State string
+
+// The states of an endpoint, best first.
+const (
+	// Live endpoints take work.
+	Live State = "live"
+	// Suspect endpoints take work only when no live one can.
+	Suspect State = "suspect"
+	// Ejected endpoints take work only when nothing else is left.
+	Ejected State = "ejected"
+	// Leaving endpoints take no new work.
+	Leaving State = "leaving"
+)
+
+// Config bounds how fast endpoints are given up.
+type Config struct {
+	// SuspectAfter is the number of failures in a row that make an endpoint suspect.
+	SuspectAfter int
+	// EjectAfter is how long an endpoint is suspect before it is ejected.
+	EjectAfter time.Duration
+	// MaxEjectedShare bounds the endpoints ejected within EjectWindow: many that
+	// vanish at the same moment are more likely cut off than dead.
+	MaxEjectedShare float64
+	EjectWindow     time.Duration
+}
+
+// DefaultConfig returns the usual bounds.
+func DefaultConfig() Config {
+	return Config{SuspectAfter: 2, EjectAfter: 3 * time.Second, MaxEjectedShare: 0.25, EjectWindow: 10 * time.Second}
+}
+
+// Report is an endpoint's report on itself.
+type Report struct {
+	Incarnation  string
+	Weights      map[string]string
+	Adapters     map[string]string
+	Role         string
+	Running      int
+	Queued       int
+	QueuedTokens int
+	Leaving      bool
+	Loading      bool
+	LastEvent    uint64
+}
+
+// Status is what is known of an endpoint.
+type Status struct {
+	State  State     `json:"state"`
+	Report Report    `json:"report"`
+	Seen   time.Time `json:"seen"`
+	// Own counts the requests that this host has at the endpoint.
+	Own int `json:"own"`
+	// OwnTokens counts the prompt tokens of those that have no first token yet.
+	OwnTokens int `json:"own-tokens"`
+	// Others and OthersTokens are what the last report says beyond this host's own.
+	Others       int           `json:"others"`
+	OthersTokens int           `json:"others-tokens"`
+	Failures     int           `json:"failures"`
+	ServiceTime  time.Duration `json:"service-time"`
+}
+
+// Running returns the requests at the endpoint, as far as known.
+func (s Status) Running() int { return s.Own + s.Others }
+
+// QueuedTokens returns the prompt tokens that wait at the endpoint, as far as known.
+func (s Status) QueuedTokens() int { return s.OwnTokens + s.OthersTokens }
+
+type record struct {
+	Status
+	suspectSince time.Time
+	leaveMarked  bool
+	ownBefore    int
+	tokensBefore int
+}
+
+// Table holds the status of each endpoint. It is safe for concurrent use.
+//
+// Lock order: Table.mu is a leaf.
+type Table struct {
+	cfg       Config
+	mu        sync.Mutex
+	by        map[string]*record
+	ejections []time.Time
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table { return &Table{cfg: cfg, by: make(map[string]*record)} }
+
+const (
+	initialServiceTime = 200 * time.Millisecond
+	serviceTimeWeight  = 0.1
+)
+
+func (t *Table) get(name string) *record {
+	r, ok := t.by[name]
+	if !ok {
+		r = &record{Status: Status{State: Live, ServiceTime: initialServiceTime}}
+		t.by[name] = r
+	}
+	return r
+}
+
+// Reported takes an endpoint's report. It reports whether the incarnation is a
+// new one for an endpoint that was known before.
+func (t *Table) Reported(name string, rep Report, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.get(name)
+	renewed := r.Report.Incarnation != "" && r.Report.Incarnation != rep.Incarnation
+	r.Report = rep
+	r.Seen = now
+	r.Others = max(0, rep.Running+rep.Queued-r.ownBefore)
+	r.OthersTokens = max(0, rep.QueuedTokens-r.tokensBefore)
+	r.ownBefore = r.Own
+	r.tokensBefore = r.OwnTokens
+	r.succeed()
+	return renewed
+}
+
+// Succeeded notes that the endpoint answered.
+func (t *Table) Succeeded(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.get(name).succeed()
+}
+
+func (r *record) succeed() {
+	r.Failures = 0
+	r.suspectSince = time.Time{}
+	r.State = Live
+	if r.Report.Leaving || r.leaveMarked {
+		r.State = Leaving
+	}
+}
+
+// Failed notes that the endpoint could not be reached or did not answer.
+func (t *Table) Failed(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.get(name)
+	r.Failures++
+	if r.State == Live && r.Failures >= t.cfg.SuspectAfter {
+		r.State = Suspect
+		r.suspectSince = now
+	}
+}
+
+// Crashed notes that the endpoint broke off a request; it is suspect at once.
+func (t *Table) Crashed(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.get(name)
+	r.Failures++
+	if r.State == Live {
+		r.State = Suspect
+		r.suspectSince = now
+	}
+}
+
+// MarkLeaving sets or clears the mark that an endpoint is leaving, from a source
+// other than its own report.
+func (t *Table) MarkLeaving(name string, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.get(name)
+	r.leaveMarked = leaving
+	if leaving {
+		r.State = Leaving
+	} else if r.State == Leaving && !r.Report.Leaving {
+		r.State = Live
+	}
+}
+
+// Review ejects endpoints that have been suspect for too long, no more at once
+// than the bound allows. It returns those that it ejected.
+func (t *Table) Review(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for len(t.ejections) > 0 && now.Sub(t.ejections[0]) > t.cfg.EjectWindow {
+		t.ejections = t.ejections[1:]
+	}
+	allowed := max(1, int(float64(len(t.by))*t.cfg.MaxEjectedShare)) - len(t.ejections)
+	var out []string
+	for name, r := range t.by {
+		if allowed <= 0 {
+			break
+		}
+		if r.State == Suspect && now.Sub(r.suspectSince) >= t.cfg.EjectAfter {
+			r.State = Ejected
+			t.ejections = append(t.ejections, now)
+			out = append(out, name)
+			allowed--
+		}
+	}
+	return out
+}
+
+// Retain forgets endpoints that are not in names.
+func (t *Table) Retain(names map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name := range t.by {
+		if !names[name] {
+			delete(t.by, name)
+		}
+	}
+}
+
+// Get returns the status of an endpoint.
+func (t *Table) Get(name string) Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.get(name).Status
+}
+
+// All returns the status of every endpoint.
+func (t *Table) All() map[string]Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]Status, len(t.by))
+	for name, r := range t.by {
+		s := r.Status
+		s.Report.Weights = maps.Clone(s.Report.Weights)
+		out[name] = s
+	}
+	return out
+}
+
+// Sent notes that this host sent a request with a prompt of some tokens.
+func (t *Table) Sent(name string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.get(name)
+	r.Own++
+	r.OwnTokens += tokens
+}
+
+// FirstToken notes that a request's prompt was computed.
+func (t *Table) FirstToken(name string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.get(name).OwnTokens -= tokens
+}
+
+// Finished notes that a request left the endpoint after a time.
+func (t *Table) Finished(name string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.get(name)
+	r.Own--
+	r.ServiceTime += time.Duration(serviceTimeWeight * float64(took-r.ServiceTime))
+}
--- /dev/null
+++ b/core/proto/logapi/client.go
@@ -0,0 +1,185 @@
+// Package logapi is the client of the platform's services: the append-only log
+// and the list of hosts.
+package logapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/stream"
+)
+
+// RecordBody is a record as the log's interface carries it.
+type RecordBody struct {
+	Offset uint64    `json:"offset"`
+	Time   time.Time `json:"time"`
+	Data   []byte    `json:"data"`
+}
+
+// ReadBody is the answer to a read.
+type ReadBody struct {
+	Records []RecordBody `json:"records"`
+	Next    uint64       `json:"next"`
+}
+
+// AppendBody is the answer to an append.
+type AppendBody struct {
+	Offset uint64 `json:"offset"`
+}
+
+// ErrorBody is the answer to a call that failed.
+type ErrorBody struct {
+	Message string `json:"message"`
+	// First is the oldest offset kept; it is set when the wanted one is gone.
+	First uint64 `json:"first,omitempty"`
+}
+
+// HostState is what the platform's list says of a host.
+type HostState string
+
+// The states of a host on the platform's list.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// Host is one entry of the platform's list of hosts.
+type Host struct {
+	Name          string         `json:"name"`
+	FailureDomain string         `json:"failure-domain"`
+	Address       netip.AddrPort `json:"address"`
+	State         HostState      `json:"state"`
+}
+
+// HostsBody is the platform's list of hosts. It lags.
+type HostsBody struct {
+	Hosts []Host `json:"hosts"`
+}
+
+// ErrRefused reports a call that the platform answered with an error status.
+type ErrRefused struct {
+	Status  int
+	Message string
+}
+
+// Error gives the status and the platform's message.
+func (e *ErrRefused) Error() string {
+	return fmt.Sprintf("platform answered %d: %s", e.Status, e.Message)
+}
+
+// IsErrRefused reports whether err holds an ErrRefused.
+func IsErrRefused(err error) bool {
+	var target *ErrRefused
+	return errors.As(err, &target)
+}
+
+// Config says where the platform is and how long to wait for it.
+type Config struct {
+	Clock   clock.Service
+	Address netip.AddrPort
+	// Timeout bounds each call beyond the wait that the call asks for.
+	Timeout time.Duration
+}
+
+// Client calls the platform.
+type Client struct {
+	cfg  Config
+	http *http.Client
+}
+
+const (
+	readLimit    = 512
+	maxReplySize = 64 << 20
+	idleConns    = 8
+)
+
+// New returns a client.
+func New(cfg Config) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConns}
+	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Append adds a record and returns its offset. After an error other than
+// ErrRefused the record may stand in the log all the same.
+func (c *Client) Append(ctx context.Context, name string, data []byte) (uint64, error) {
+	var out AppendBody
+	err := c.call(ctx, http.MethodPost, "/v1/streams/"+url.PathEscape(name)+"/records", data, 0, &out)
+	if err != nil {
+		return 0, fmt.Errorf("append to %s: %w", name, err)
+	}
+	return out.Offset, nil
+}
+
+// Read returns records from an offset on, waiting up to wait for the first.
+func (c *Client) Read(ctx context.Context, name string, from uint64, wait time.Duration) (stream.Batch, error) {
+	query := url.Values{}
+	query.Set("from", strconv.FormatUint(from, 10))
+	query.Set("limit", strconv.Itoa(readLimit))
+	query.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var out ReadBody
+	path := "/v1/streams/" + url.PathEscape(name) + "/records?" + query.Encode()
+	if err := c.call(ctx, http.MethodGet, path, nil, wait, &out); err != nil {
+		return stream.Batch{}, fmt.Errorf("read %s: %w", name, err)
+	}
+	batch := stream.Batch{Next: out.Next}
+	for _, r := range out.Records {
+		batch.Records = append(batch.Records, stream.Record(r))
+	}
+	return batch, nil
+}
+
+// Hosts returns the platform's list of hosts.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var out HostsBody
+	if err := c.call(ctx, http.MethodGet, "/v1/hosts", nil, 0, &out); err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	return out.Hosts, nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, wait time.Duration, out any) error {
+	ctx, cancel := clock.WithTimeout(ctx, c.cfg.Clock, c.cfg.Timeout+wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("send request: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplySize))
+	if err != nil {
+		return fmt.Errorf("read reply: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp.StatusCode, raw)
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return fmt.Errorf("decode reply: %w", err)
+	}
+	return nil
+}
+
+func refusal(status int, raw []byte) error {
+	var body ErrorBody
+	_ = json.Unmarshal(raw, &body)
+	if status == http.StatusGone {
+		return &stream.ErrTrimmed{First: body.First}
+	}
+	return &ErrRefused{Status: status, Message: body.Message}
+}
--- /dev/null
+++ b/core/proto/openai/chunk.go
@@ -0,0 +1,133 @@
+package openai
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// Done is the data of the event that ends a stream.
+const Done = "[DONE]"
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	PromptDetails    PromptDetails `json:"prompt_tokens_details"`
+}
+
+// PromptDetails counts the prompt tokens that came from the cache.
+type PromptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// Chunk is one event of a stream.
+type Chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []ChunkChoice `json:"choices"`
+	Usage   *Usage        `json:"usage,omitempty"`
+}
+
+// ChunkChoice is the choice within a chunk. Delta is used by chat, Text by text completions.
+type ChunkChoice struct {
+	Index        int     `json:"index"`
+	Delta        *Delta  `json:"delta,omitempty"`
+	Text         string  `json:"text,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Delta is the part of a chat answer that a chunk adds.
+type Delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Answer is a whole completion.
+type Answer struct {
+	ID      string         `json:"id"`
+	Object  string         `json:"object"`
+	Created int64          `json:"created"`
+	Model   string         `json:"model"`
+	Choices []AnswerChoice `json:"choices"`
+	Usage   Usage          `json:"usage"`
+}
+
+// AnswerChoice is the choice within an answer.
+type AnswerChoice struct {
+	Index        int            `json:"index"`
+	Message      *AnswerMessage `json:"message,omitempty"`
+	Text         string         `json:"text,omitempty"`
+	FinishReason string         `json:"finish_reason"`
+}
+
+// AnswerMessage is the message of a chat answer.
+type AnswerMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Model describes a model to callers.
+type Model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// ModelList is the answer to a call for the models.
+type ModelList struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// Collector joins the chunks of a stream into a whole answer.
+type Collector struct {
+	kind   Kind
+	text   strings.Builder
+	last   Chunk
+	finish string
+	usage  Usage
+}
+
+// NewCollector returns a collector for one kind of completion.
+func NewCollector(kind Kind) *Collector { return &Collector{kind: kind} }
+
+// Add takes the data of the next chunk.
+func (c *Collector) Add(data []byte) error {
+	var chunk Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return fmt.Errorf("decode chunk: %w", err)
+	}
+	c.last = chunk
+	if chunk.Usage != nil {
+		c.usage = *chunk.Usage
+	}
+	for _, choice := range chunk.Choices {
+		c.text.WriteString(choice.Text)
+		if choice.Delta != nil {
+			c.text.WriteString(choice.Delta.Content)
+		}
+		if choice.FinishReason != nil {
+			c.finish = *choice.FinishReason
+		}
+	}
+	return nil
+}
+
+// Answer returns the whole answer.
+func (c *Collector) Answer() Answer {
+	a := Answer{ID: c.last.ID, Object: "chat.completion", Created: c.last.Created, Model: c.last.Model, Usage: c.usage}
+	choice := AnswerChoice{FinishReason: c.finish}
+	if c.kind == Chat {
+		choice.Message = &AnswerMessage{Role: "assistant", Content: c.text.String()}
+	} else {
+		a.Object = "text_completion"
+		choice.Text = c.text.String()
+	}
+	a.Choices = []AnswerChoice{choice}
+	return a
+}
--- /dev/null
+++ b/core/state/clock/fake.go
@@ -0,0 +1,90 @@
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// Fake is a Service whose time moves only by Advance.
+type Fake struct {
+	mu   sync.Mutex
+	now  time.Time
+	subs map[*fakeSub]struct{}
+}
+
+// NewFake returns a service that stands at start.
+func NewFake(start time.Time) *Fake {
+	return &Fake{now: start, subs: make(map[*fakeSub]struct{})}
+}
+
+// Now returns the time that Advance has reached.
+func (f *Fake) Now() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// Subscribe delivers a tick for each interval that Advance passes.
+func (f *Fake) Subscribe(interval time.Duration) Subscription {
+	return f.add(interval, interval)
+}
+
+// Once delivers a single tick when Advance passes delay.
+func (f *Fake) Once(delay time.Duration) Subscription {
+	return f.add(delay, 0)
+}
+
+// Advance moves the time and fires the subscriptions that fall due.
+func (f *Fake) Advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+	for sub := range f.subs {
+		f.fire(sub)
+	}
+}
+
+// Waiting returns the number of live subscriptions.
+func (f *Fake) Waiting() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.subs)
+}
+
+func (f *Fake) add(delay, interval time.Duration) Subscription {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sub := &fakeSub{owner: f, due: f.now.Add(delay), interval: interval, ch: make(chan time.Time, 1)}
+	f.subs[sub] = struct{}{}
+	f.fire(sub)
+	return sub
+}
+
+func (f *Fake) fire(sub *fakeSub) {
+	for !sub.due.After(f.now) {
+		select {
+		case sub.ch <- f.now:
+		default:
+		}
+		if sub.interval <= 0 {
+			delete(f.subs, sub)
+			return
+		}
+		sub.due = sub.due.Add(sub.interval)
+	}
+}
+
+type fakeSub struct {
+	owner    *Fake
+	due      time.Time
+	interval time.Duration
+	ch       chan time.Time
+}
+
+func (s *fakeSub) C() <-chan time.Time { return s.ch }
+
+func (s *fakeSub) Stop() {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	delete(s.owner.subs, s)
+}
--- /dev/null
+++ b/core/state/conf/snapshot.go
@@ -0,0 +1,123 @@
+package conf
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"time"
+
+	"cicadastand.dev/core/state/fleet"
+)
+
+// Snapshot is the whole state after the record at an offset. It can be handed
+// to a host that has none, and stands on the log as checkpoints.
+type Snapshot struct {
+	Offset    uint64     `json:"offset"`
+	Documents []Document `json:"documents"`
+	Heartbeat time.Time  `json:"heartbeat,omitzero"`
+}
+
+// Snapshot returns the current state.
+func (s *State) Snapshot() Snapshot {
+	return Snapshot{Offset: s.offset, Documents: s.Documents(), Heartbeat: s.lastBeat}
+}
+
+// Encode returns the snapshot in JSON.
+func (s Snapshot) Encode() ([]byte, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeSnapshot reads a snapshot from JSON.
+func DecodeSnapshot(data []byte) (Snapshot, error) {
+	var s Snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return Snapshot{}, fmt.Errorf("decode snapshot: %w", err)
+	}
+	return s, nil
+}
+
+// Restore replaces the state by a snapshot that is newer. It reports whether it
+// did, and leaves the state as it was when a document can't be read.
+func (s *State) Restore(snap Snapshot) (bool, error) {
+	if snap.Offset <= s.offset {
+		return false, nil
+	}
+	fresh := New()
+	for _, d := range snap.Documents {
+		p, err := parse(d.Name, d.Text)
+		if err != nil {
+			return false, fmt.Errorf("restore %s: %w", d.Name, err)
+		}
+		fresh.install(d, p, false)
+	}
+	fresh.offset = snap.Offset
+	fresh.history = s.history
+	fresh.lastBeat = snap.Heartbeat
+	if s.lastBeat.After(fresh.lastBeat) {
+		fresh.lastBeat = s.lastBeat
+	}
+	*s = *fresh
+	return true, nil
+}
+
+// Checkpoints returns the snapshot as checkpoint records of at most
+// maxBytes of document text each, apart from a single larger document.
+func (s Snapshot) Checkpoints(id string, maxBytes int) []Record {
+	groups := [][]Document{nil}
+	size := 0
+	for _, d := range s.Documents {
+		if size > 0 && size+len(d.Text) > maxBytes {
+			groups = append(groups, nil)
+			size = 0
+		}
+		groups[len(groups)-1] = append(groups[len(groups)-1], d)
+		size += len(d.Text)
+	}
+	out := make([]Record, 0, len(groups))
+	for i, docs := range groups {
+		cp := &Checkpoint{At: s.Offset, Part: i, Parts: len(groups), Documents: docs}
+		out = append(out, Record{Kind: KindCheckpoint, ID: id, Checkpoint: cp})
+	}
+	return out
+}
+
+// View is an immutable picture of the configuration in force.
+type View struct {
+	// Offset is the offset of the last record that the view includes.
+	Offset    uint64
+	Fleet     *fleet.Fleet
+	contracts map[string]*fleet.Contract
+	byHash    map[string]string
+}
+
+// View returns a picture of the current state that later records don't change.
+func (s *State) View() *View {
+	return &View{
+		Offset:    s.offset,
+		Fleet:     s.fleet,
+		contracts: maps.Clone(s.contracts),
+		byHash:    maps.Clone(s.byHash),
+	}
+}
+
+// Contract returns the contract of an account.
+func (v *View) Contract(account string) (*fleet.Contract, bool) {
+	c, ok := v.contracts[account]
+	return c, ok
+}
+
+// Contracts returns the number of contracts.
+func (v *View) Contracts() int { return len(v.contracts) }
+
+// Authenticate returns the contract whose key hashes include the hash of key.
+func (v *View) Authenticate(key string) (*fleet.Contract, bool) {
+	account, ok := v.byHash[fleet.HashKey(key)]
+	if !ok {
+		return nil, false
+	}
+	return v.Contract(account)
+}
--- /dev/null
+++ b/core/state/conf/state.go
@@ -0,0 +1,222 @@
+// Package conf folds the configuration stream into the contracts and the fleet
+// description in force.
+//
+// The fold is a pure function of the stream: a change with a stale base or
+// with invalid content loses, for the same reason on every host.
+package conf
+
+import (
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/stream"
+)
+
+// FleetDocument is the name of the document that describes the fleet.
+const FleetDocument = "fleet"
+
+const contractPrefix = "contract/"
+
+const historyLen = 512
+
+// ContractDocument returns the name of the document that holds an account's contract.
+func ContractDocument(account string) string { return contractPrefix + account }
+
+// Outcome is the fate of one change.
+type Outcome string
+
+// The outcomes of a change.
+const (
+	Accepted Outcome = "accepted"
+	Stale    Outcome = "stale"
+	Invalid  Outcome = "invalid"
+)
+
+// Verdict tells what became of a change.
+type Verdict struct {
+	Offset   uint64             `json:"offset"`
+	ID       string             `json:"id"`
+	Document string             `json:"document"`
+	Author   string             `json:"author"`
+	Time     time.Time          `json:"time"`
+	Outcome  Outcome            `json:"outcome"`
+	Reason   string             `json:"reason,omitempty"`
+	Fields   []fleet.FieldError `json:"fields,omitempty"`
+	// Version is the version of the document after the change.
+	Version uint64 `json:"version"`
+}
+
+// State is the fold of the configuration stream. It is not safe for concurrent use.
+type State struct {
+	offset    uint64
+	docs      map[string]Document
+	fleet     *fleet.Fleet
+	contracts map[string]*fleet.Contract
+	byHash    map[string]string
+	history   []Verdict
+	lastBeat  time.Time
+}
+
+// New returns the state before the first record.
+func New() *State {
+	empty := fleet.DefaultFleet()
+	return &State{
+		docs:      make(map[string]Document),
+		fleet:     &empty,
+		contracts: make(map[string]*fleet.Contract),
+		byHash:    make(map[string]string),
+	}
+}
+
+// Offset returns the offset of the last record applied.
+func (s *State) Offset() uint64 { return s.offset }
+
+// Heartbeat returns the stamp of the newest heartbeat applied.
+func (s *State) Heartbeat() time.Time { return s.lastBeat }
+
+// History returns the latest verdicts, oldest first.
+func (s *State) History() []Verdict { return slices.Clone(s.history) }
+
+// Document returns an accepted document.
+func (s *State) Document(name string) (Document, bool) {
+	d, ok := s.docs[name]
+	return d, ok
+}
+
+// Documents returns the accepted documents by name.
+func (s *State) Documents() []Document {
+	out := make([]Document, 0, len(s.docs))
+	for _, d := range s.docs {
+		out = append(out, d)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Apply folds one record. A record at or below the current offset is passed
+// over, so the state never reverts. The verdict is nil for records that are not
+// changes.
+func (s *State) Apply(r stream.Record) *Verdict {
+	if r.Offset <= s.offset {
+		return nil
+	}
+	s.offset = r.Offset
+	rec, err := Decode(r.Data)
+	if err != nil {
+		return nil
+	}
+	if rec.Kind == KindHeartbeat && rec.Heartbeat != nil && rec.Heartbeat.Sent.After(s.lastBeat) {
+		s.lastBeat = rec.Heartbeat.Sent
+	}
+	if rec.Kind != KindChange || rec.Change == nil {
+		return nil
+	}
+	v := s.change(r, rec)
+	s.remember(v)
+	return &v
+}
+
+// Check tells what a change would get if it were next in the log.
+func (s *State) Check(c Change) Verdict {
+	v := Verdict{Document: c.Document, Author: c.Author, Version: s.docs[c.Document].Version}
+	if _, err := s.judge(c); err != nil {
+		v.reject(err)
+		return v
+	}
+	v.Outcome = Accepted
+	return v
+}
+
+func (s *State) change(r stream.Record, rec *Record) Verdict {
+	c := *rec.Change
+	v := Verdict{Offset: r.Offset, ID: rec.ID, Document: c.Document, Author: c.Author, Time: r.Time}
+	p, err := s.judge(c)
+	if err != nil {
+		v.reject(err)
+		v.Version = s.docs[c.Document].Version
+		return v
+	}
+	doc := Document{Name: c.Document, Version: r.Offset, Author: c.Author, Time: r.Time, Text: c.Text}
+	s.install(doc, p, c.Remove)
+	v.Outcome = Accepted
+	v.Version = r.Offset
+	if c.Remove {
+		v.Version = 0
+	}
+	return v
+}
+
+func (s *State) remember(v Verdict) {
+	s.history = append(s.history, v)
+	if len(s.history) > historyLen {
+		s.history = slices.Delete(s.history, 0, len(s.history)-historyLen)
+	}
+}
+
+// parsed is a document read into its type; one field is set.
+type parsed struct {
+	fleet    *fleet.Fleet
+	contract *fleet.Contract
+}
+
+func (s *State) judge(c Change) (parsed, error) {
+	if current := s.docs[c.Document].Version; c.Base != current {
+		return parsed{}, &ErrStale{Document: c.Document, Base: c.Base, Current: current}
+	}
+	if c.Remove {
+		return parsed{}, s.checkRemoval(c.Document)
+	}
+	p, err := parse(c.Document, c.Text)
+	if err != nil {
+		return parsed{}, err
+	}
+	if p.fleet != nil {
+		return p, s.checkFleet(p.fleet)
+	}
+	return p, s.checkContract(p.contract)
+}
+
+func parse(name, text string) (parsed, error) {
+	if name == FleetDocument {
+		f, err := fleet.ParseFleet(text)
+		return parsed{fleet: f}, err
+	}
+	account, ok := strings.CutPrefix(name, contractPrefix)
+	if !ok {
+		return parsed{}, invalid(name, "document", "must be fleet or contract/ACCOUNT")
+	}
+	c, err := fleet.ParseContract(text)
+	if err != nil {
+		return parsed{}, err
+	}
+	if c.Account != account {
+		return parsed{}, invalid(name, "account", "must be %q, as the document's name says", account)
+	}
+	return parsed{contract: c}, nil
+}
+
+func (s *State) install(doc Document, p parsed, remove bool) {
+	account := strings.TrimPrefix(doc.Name, contractPrefix)
+	if old, ok := s.contracts[account]; ok && doc.Name != FleetDocument {
+		for _, h := range old.KeyHashes {
+			delete(s.byHash, h)
+		}
+	}
+	if remove {
+		delete(s.docs, doc.Name)
+		delete(s.contracts, account)
+		return
+	}
+	s.docs[doc.Name] = doc
+	if p.fleet != nil {
+		s.fleet = p.fleet
+		return
+	}
+	s.contracts[account] = p.contract
+	for _, h := range p.contract.KeyHashes {
+		s.byHash[h] = account
+	}
+}
--- /dev/null
+++ b/core/state/fleet/errors.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// FieldError says what is wrong with one field of a document.
+type FieldError struct {
+	// Field is the path of the field, such as limits.concurrency.
+	Field string `json:"field"`
+	// Reason says what the field must hold.
+	Reason string `json:"reason"`
+}
+
+// ErrInvalid reports a document that can't be accepted.
+type ErrInvalid struct {
+	// Document names what was read, such as contract/bastones.
+	Document string
+	// Fields lists every fault found.
+	Fields []FieldError
+}
+
+// Error lists the faults, one clause each.
+func (e *ErrInvalid) Error() string {
+	parts := make([]string, 0, len(e.Fields))
+	for _, f := range e.Fields {
+		parts = append(parts, fmt.Sprintf("%s: %s", f.Field, f.Reason))
+	}
+	return fmt.Sprintf("%s is invalid: %s", e.Document, strings.Join(parts, "; "))
+}
+
+// IsErrInvalid reports whether err holds an ErrInvalid.
+func IsErrInvalid(err error) bool {
+	var target *ErrInvalid
+	return errors.As(err, &target)
+}
+
+// faults collects field errors while a document is checked.
+type faults struct {
+	fields []FieldError
+}
+
+func (f *faults) add(field, format string, args ...any) {
+	f.fields = append(f.fields, FieldError{Field: field, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (f *faults) require(ok bool, field, format string, args ...any) {
+	if !ok {
+		f.add(field, format, args...)
+	}
+}
+
+func (f *faults) err(document string) error {
+	if len(f.fields) == 0 {
+		return nil
+	}
+	return &ErrInvalid{Document: document, Fields: f.fields}
+}
--- /dev/null
+++ b/core/state/index/index.go
@@ -0,0 +1,263 @@
+// Package index remembers which endpoint is believed to hold which cached
+// piece. It is evidence and never proof: a wrong belief costs a recomputation.
+package index
+
+import (
+	"sync"
+	"time"
+
+	"cicadastand.dev/core/state/prefix"
+)
+
+// Config bounds an index.
+type Config struct {
+	// MaxKeys bounds the keys kept; the least recently confirmed ones go first.
+	MaxKeys int
+	// Life is how long a piece is believed to stay before anything was observed.
+	Life time.Duration
+	// MinLife and MaxLife bound what observation makes of Life.
+	MinLife, MaxLife time.Duration
+}
+
+// DefaultConfig returns bounds for one node.
+func DefaultConfig() Config {
+	return Config{MaxKeys: 50_000, Life: 20 * time.Second, MinLife: time.Second, MaxLife: 2 * time.Minute}
+}
+
+// holder is an endpoint that had a piece at a time.
+type holder struct {
+	endpoint string
+	seen     time.Time
+}
+
+// entry lists the holders of one key and links the key into the age order.
+type entry struct {
+	key        prefix.Key
+	holders    []holder
+	prev, next *entry
+}
+
+// Index maps keys to holders. It is safe for concurrent use.
+//
+// Lock order: Index.mu is a leaf.
+type Index struct {
+	cfg          Config
+	mu           sync.Mutex
+	entries      map[prefix.Key]*entry
+	ring         entry
+	incarnations map[string]string
+	lives        map[string]time.Duration
+}
+
+// New returns an empty index.
+func New(cfg Config) *Index {
+	x := &Index{
+		cfg:          cfg,
+		entries:      make(map[prefix.Key]*entry),
+		incarnations: make(map[string]string),
+		lives:        make(map[string]time.Duration),
+	}
+	x.ring.prev, x.ring.next = &x.ring, &x.ring
+	return x
+}
+
+// Len returns the number of keys kept.
+func (x *Index) Len() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.entries)
+}
+
+// Life returns how long a piece is believed to stay at an endpoint.
+func (x *Index) Life(endpoint string) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.life(endpoint)
+}
+
+// SetIncarnation voids all that an earlier incarnation of the endpoint held.
+func (x *Index) SetIncarnation(endpoint, incarnation string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.incarnations[endpoint] == incarnation {
+		return
+	}
+	x.incarnations[endpoint] = incarnation
+	for _, e := range x.entries {
+		e.drop(endpoint)
+	}
+}
+
+// Confirm records that an incarnation of an endpoint holds the pieces of a
+// chain at a time. A word from another incarnation is passed over.
+func (x *Index) Confirm(endpoint, incarnation string, chain []prefix.Key, at time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if known, ok := x.incarnations[endpoint]; ok && known != incarnation {
+		return
+	}
+	x.incarnations[endpoint] = incarnation
+	for _, k := range chain {
+		x.touch(k).confirm(endpoint, at)
+	}
+	x.shrink()
+}
+
+// Evict records that an incarnation of an endpoint dropped a piece.
+func (x *Index) Evict(endpoint, incarnation string, key prefix.Key) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.incarnations[endpoint] != incarnation {
+		return
+	}
+	if e, ok := x.entries[key]; ok {
+		e.drop(endpoint)
+	}
+}
+
+// Knows reports whether the index keeps a key.
+func (x *Index) Knows(key prefix.Key) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_, ok := x.entries[key]
+	return ok
+}
+
+// Held returns for each endpoint how many leading pieces of a chain it is
+// expected to hold at a time. Belief fades over the endpoint's life of pieces.
+func (x *Index) Held(chain []prefix.Key, endpoints []string, at time.Time) []float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	held := make([]float64, len(endpoints))
+	for i, name := range endpoints {
+		held[i] = x.held(chain, name, at)
+	}
+	return held
+}
+
+// Observe learns how long pieces stay: an answer used cached pieces of a chain
+// that was last confirmed at times the index knows.
+func (x *Index) Observe(endpoint string, chain []prefix.Key, cached int, at time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	life := x.life(endpoint)
+	if cached > 0 {
+		if age, ok := x.age(chain[cached-1], endpoint, at); ok && age > life {
+			life = age
+		}
+	}
+	if cached < len(chain) {
+		if age, ok := x.age(chain[cached], endpoint, at); ok && age < life {
+			life -= (life - age) / lifeShrinkDivisor
+		}
+	}
+	x.lives[endpoint] = min(max(life, x.cfg.MinLife), x.cfg.MaxLife)
+}
+
+const (
+	// lifeShrinkDivisor is the part of the distance by which one early loss shortens the life.
+	lifeShrinkDivisor = 4
+	// fadeStart is the share of the life after which belief begins to fade.
+	fadeStart = 0.7
+)
+
+func (x *Index) life(endpoint string) time.Duration {
+	if l, ok := x.lives[endpoint]; ok {
+		return l
+	}
+	return x.cfg.Life
+}
+
+func (x *Index) age(key prefix.Key, endpoint string, at time.Time) (time.Duration, bool) {
+	e, ok := x.entries[key]
+	if !ok {
+		return 0, false
+	}
+	for _, h := range e.holders {
+		if h.endpoint == endpoint {
+			return at.Sub(h.seen), true
+		}
+	}
+	return 0, false
+}
+
+func (x *Index) held(chain []prefix.Key, endpoint string, at time.Time) float64 {
+	life := float64(x.life(endpoint))
+	sum, belief := 0.0, 1.0
+	for _, k := range chain {
+		age, ok := x.age(k, endpoint, at)
+		if !ok {
+			break
+		}
+		belief = min(belief, fade(float64(age)/life))
+		if belief <= 0 {
+			break
+		}
+		sum += belief
+	}
+	return sum
+}
+
+// fade returns the belief in a piece whose age is a share of its expected life.
+func fade(share float64) float64 {
+	switch {
+	case share <= fadeStart:
+		return 1
+	case share >= 1:
+		return 0
+	default:
+		return (1 - share) / (1 - fadeStart)
+	}
+}
+
+func (x *Index) touch(k prefix.Key) *entry {
+	e, ok := x.entries[k]
+	if ok {
+		e.unlink()
+	} else {
+		e = &entry{key: k}
+		x.entries[k] = e
+	}
+	e.linkBefore(&x.ring)
+	return e
+}
+
+func (x *Index) shrink() {
+	for len(x.entries) > x.cfg.MaxKeys {
+		oldest := x.ring.next
+		oldest.unlink()
+		delete(x.entries, oldest.key)
+	}
+}
+
+func (e *entry) confirm(endpoint string, at time.Time) {
+	for i := range e.holders {
+		if e.holders[i].endpoint == endpoint {
+			if at.After(e.holders[i].seen) {
+				e.holders[i].seen = at
+			}
+			return
+		}
+	}
+	e.holders = append(e.holders, holder{endpoint: endpoint, seen: at})
+}
+
+func (e *entry) drop(endpoint string) {
+	for i := range e.holders {
+		if e.holders[i].endpoint == endpoint {
+			e.holders = append(e.holders[:i], e.holders[i+1:]...)
+			return
+		}
+	}
+}
+
+func (e *entry) unlink() {
+	e.prev.next = e.next
+	e.next.prev = e.prev
+}
+
+func (e *entry) linkBefore(at *entry) {
+	e.prev, e.next = at.prev, at
+	at.prev.next = e
+	at.prev = e
+}
--- /dev/null
+++ b/core/state/usage/usage.go
@@ -0,0 +1,246 @@
+// Package usage counts what the callers of each account asked for and received.
+package usage
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"cicadastand.dev/core/state/fleet"
+)
+
+// Key names one line of the book.
+type Key struct {
+	Account string     `json:"account"`
+	Rank    fleet.Rank `json:"rank"`
+}
+
+// Line counts the requests of one account and rank.
+type Line struct {
+	Key
+	Asked    int            `json:"asked"`
+	Admitted int            `json:"admitted"`
+	Refused  map[string]int `json:"refused"`
+	// Completed counts requests answered whole, InTime those within their target.
+	Completed int `json:"completed"`
+	InTime    int `json:"in-time"`
+	Late      int `json:"late"`
+	// Failed counts requests that were admitted and not answered whole.
+	Failed       int `json:"failed"`
+	PromptTokens int `json:"prompt-tokens"`
+	CachedTokens int `json:"cached-tokens"`
+	AnswerTokens int `json:"answer-tokens"`
+	// FirstToken counts times to first token by bucket, see Bounds.
+	FirstToken [buckets]int `json:"first-token"`
+}
+
+const buckets = 16
+
+// Bounds returns the upper bounds of the first-token buckets; the last bucket has none.
+func Bounds() []time.Duration {
+	out := make([]time.Duration, buckets-1)
+	d := 5 * time.Millisecond
+	for i := range out {
+		out[i] = d
+		d = d * 8 / 5
+	}
+	return out
+}
+
+// Result is the end of one admitted request.
+type Result struct {
+	Whole        bool
+	InTime       bool
+	FirstToken   time.Duration
+	PromptTokens int
+	CachedTokens int
+	AnswerTokens int
+}
+
+// Book holds the lines of one host. It is safe for concurrent use.
+//
+// Lock order: Book.mu is a leaf.
+type Book struct {
+	mu     sync.Mutex
+	lines  map[Key]*Line
+	bounds []time.Duration
+}
+
+// New returns an empty book.
+func New() *Book { return &Book{lines: make(map[Key]*Line), bounds: Bounds()} }
+
+// Asked notes a request.
+func (b *Book) Asked(k Key) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.line(k).Asked++
+}
+
+// Admitted notes that a request may run.
+func (b *Book) Admitted(k Key) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.line(k).Admitted++
+}
+
+// Refused notes that a request was refused before it ran, and why.
+func (b *Book) Refused(k Key, why string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.line(k).Refused[why]++
+}
+
+// Ended notes the end of an admitted request.
+func (b *Book) Ended(k Key, r Result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.line(k)
+	l.PromptTokens += r.PromptTokens
+	l.CachedTokens += r.CachedTokens
+	l.AnswerTokens += r.AnswerTokens
+	if r.FirstToken > 0 {
+		l.FirstToken[b.bucket(r.FirstToken)]++
+	}
+	switch {
+	case !r.Whole:
+		l.Failed++
+		return
+	case r.InTime:
+		l.InTime++
+	default:
+		l.Late++
+	}
+	l.Completed++
+}
+
+func (b *Book) line(k Key) *Line {
+	l, ok := b.lines[k]
+	if !ok {
+		l = &Line{Key: k, Refused: make(map[string]int)}
+		b.lines[k] = l
+	}
+	return l
+}
+
+func (b *Book) bucket(d time.Duration) int {
+	return sort.Search(len(b.bounds), func(i int) bool { return d <= b.bounds[i] })
+}
+
+// Report is the content of a book.
+type Report struct {
+	Host  string `json:"host"`
+	Lines []Line `json:"lines"`
+}
+
+// Report returns the lines of an account, or all for an empty name.
+func (b *Book) Report(host, account string) Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := Report{Host: host}
+	for k, l := range b.lines {
+		if account != "" && k.Account != account {
+			continue
+		}
+		line := *l
+		line.Refused = make(map[string]int, len(l.Refused))
+		for why, n := range l.Refused {
+			line.Refused[why] = n
+		}
+		out.Lines = append(out.Lines, line)
+	}
+	sortLines(out.Lines)
+	return out
+}
+
+// Sum adds up the reports of several hosts.
+func Sum(reports []Report) []Line {
+	by := make(map[Key]*Line)
+	for _, r := range reports {
+		for i := range r.Lines {
+			add(by, &r.Lines[i])
+		}
+	}
+	out := make([]Line, 0, len(by))
+	for _, l := range by {
+		out = append(out, *l)
+	}
+	sortLines(out)
+	return out
+}
+
+func add(by map[Key]*Line, l *Line) {
+	sum, ok := by[l.Key]
+	if !ok {
+		sum = &Line{Key: l.Key, Refused: make(map[string]int)}
+		by[l.Key] = sum
+	}
+	sum.Asked += l.Asked
+	sum.Admitted += l.Admitted
+	sum.Completed += l.Completed
+	sum.InTime += l.InTime
+	sum.Late += l.Late
+	sum.Failed += l.Failed
+	sum.PromptTokens += l.PromptTokens
+	sum.CachedTokens += l.CachedTokens
+	sum.AnswerTokens += l.AnswerTokens
+	for why, n := range l.Refused {
+		sum.Refused[why] += n
+	}
+	for i, n := range l.FirstToken {
+		sum.FirstToken[i] += n
+	}
+}
+
+func sortLines(lines []Line) {
+	sort.Slice(lines, func(i, j int) bool {
+		if lines[i].Account != lines[j].Account {
+			return lines[i].Account < lines[j].Account
+		}
+		return lines[i].Rank.Index() < lines[j].Rank.Index()
+	})
+}
+
+// HitRate returns the share of prompt tokens that came from a cache.
+func (l *Line) HitRate() float64 {
+	if l.PromptTokens == 0 {
+		return 0
+	}
+	return float64(l.CachedTokens) / float64(l.PromptTokens)
+}
+
+// FirstTokenQuantile returns the upper bound of the bucket that holds a quantile.
+func (l *Line) FirstTokenQuantile(q float64) time.Duration {
+	total := 0
+	for _, n := range l.FirstToken {
+		total += n
+	}
+	bounds := Bounds()
+	seen := 0
+	for i, n := range l.FirstToken {
+		seen += n
+		if n > 0 && float64(seen) >= q*float64(total) {
+			return bounds[min(i, len(bounds)-1)]
+		}
+	}
+	return 0
+}
+
+// Encode returns the report in JSON.
+func (r Report) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode usage: %w", err)
+	}
+	return data, nil
+}
+
+// Decode reads a report from JSON.
+func Decode(data []byte) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Report{}, fmt.Errorf("decode usage: %w", err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/loads/cmd/cicada-load/main.go
@@ -0,0 +1,10 @@
+// Command cicada-load sends open-loop load to routers and checks every answer.
+package main
+
+import (
+	"os"
+
+	"cicadastand.dev/loads/cli"
+)
+
+func main() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/loads/drive/drive.go
@@ -0,0 +1,135 @@
+// Package drive sends the requests of a workload when they arrive, whatever
+// became of those before, and checks every answer.
+package drive
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/loads/plan"
+)
+
+// Outcome is the fate of one request.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// Right: answered whole, in order, and with the caller's own answer.
+	Right Outcome = "right"
+	// Refused: the router said that it was not run.
+	Refused Outcome = "refused"
+	// Unknown: the router said that the outcome is unknown.
+	Unknown Outcome = "unknown"
+	// Failed: an error, or no answer.
+	Failed Outcome = "failed"
+	// Wrong: an answer that is not whole, out of order, or another request's.
+	Wrong Outcome = "wrong"
+)
+
+// Sample is what was seen of one request.
+type Sample struct {
+	Stream     string
+	At         time.Duration
+	Outcome    Outcome
+	Code       string
+	Detail     string
+	FirstToken time.Duration
+	Total      time.Duration
+	// PromptTokens and CachedTokens are what the answer says.
+	PromptTokens int
+	CachedTokens int
+	// Key is the idempotency key of an order.
+	Key string
+}
+
+// Driver sends requests.
+type Driver struct {
+	clock    clock.Service
+	workload *plan.Workload
+	http     *http.Client
+	mu       sync.Mutex
+	samples  []Sample
+	skipped  int
+}
+
+const (
+	idleConns   = 512
+	callTimeout = 60 * time.Second
+)
+
+// New returns a driver.
+func New(service clock.Service, w *plan.Workload) *Driver {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConns}
+	return &Driver{clock: service, workload: w, http: &http.Client{Transport: transport, Timeout: callTimeout}}
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Samples []Sample
+	// Skipped counts requests that were not sent because too many were in progress.
+	Skipped int
+	// Took is the span from the first arrival to the last answer.
+	Took time.Duration
+	// Orders is what the order services ran, set against what callers were told.
+	Orders OrderCheck
+}
+
+// Run sends all requests and waits for their answers.
+func (d *Driver) Run(ctx context.Context, requests []plan.Request) (Result, error) {
+	slots := make(chan struct{}, d.workload.MaxInFlight)
+	var done sync.WaitGroup
+	start := d.clock.Now()
+	for i := range requests {
+		wait := requests[i].At - d.clock.Now().Sub(start)
+		if wait > 0 {
+			if err := clock.Sleep(ctx, d.clock, wait); err != nil {
+				return Result{}, fmt.Errorf("send workload: %w", err)
+			}
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			d.skipped++
+			continue
+		}
+		done.Add(1)
+		j := &job{d: d, r: &requests[i], slots: slots, done: &done}
+		go j.run(ctx)
+	}
+	done.Wait()
+	result := Result{Samples: d.samples, Skipped: d.skipped, Took: d.clock.Now().Sub(start)}
+	orders, err := d.checkOrders(ctx)
+	result.Orders = orders
+	return result, err
+}
+
+// job is one request in progress.
+type job struct {
+	d     *Driver
+	r     *plan.Request
+	slots <-chan struct{}
+	done  *sync.WaitGroup
+}
+
+func (j *job) run(ctx context.Context) {
+	defer j.done.Done()
+	defer func() { <-j.slots }()
+	var s Sample
+	if j.r.Stream.Kind == plan.Order {
+		s = j.d.order(ctx, j.r)
+	} else {
+		s = j.d.complete(ctx, j.r)
+	}
+	s.Stream = j.r.Stream.Name
+	s.At = j.r.At
+	j.d.mu.Lock()
+	defer j.d.mu.Unlock()
+	j.d.samples = append(j.d.samples, s)
+}
+
+func (d *Driver) router(i int) netip.AddrPort { return d.workload.Routers[i%len(d.workload.Routers)] }
--- /dev/null
+++ b/loads/plan/plan.go
@@ -0,0 +1,224 @@
+// Package plan describes a workload and turns it into a fixed stream of requests.
+package plan
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/prefix"
+	"cicadastand.dev/core/trans/setup"
+)
+
+// Kind says what the requests of a stream are.
+type Kind string
+
+// The kinds of requests.
+const (
+	// Completion asks a model.
+	Completion Kind = "completion"
+	// Order places an order that may not be repeated.
+	Order Kind = "order"
+)
+
+// Workload describes the requests of a run.
+type Workload struct {
+	// Seed fixes the arrivals and the prompts.
+	Seed uint64 `yaml:"seed"`
+	// Duration is the span over which requests arrive.
+	Duration time.Duration `yaml:"duration"`
+	// Routers are the callers' interfaces, used in turn.
+	Routers []netip.AddrPort `yaml:"routers"`
+	// Services are order services to ask for their executions at the end.
+	Services []netip.AddrPort `yaml:"services"`
+	// CacheLife is how long an engine keeps a piece, for the best possible hit rate.
+	CacheLife time.Duration `yaml:"cache-life"`
+	// MaxInFlight bounds the requests in progress.
+	MaxInFlight int `yaml:"max-in-flight"`
+	// Streams are the kinds of traffic.
+	Streams []Stream `yaml:"streams"`
+}
+
+// Stream is one kind of traffic.
+type Stream struct {
+	Name    string     `yaml:"name"`
+	Kind    Kind       `yaml:"kind"`
+	Account string     `yaml:"account"`
+	Key     string     `yaml:"key"`
+	Rank    fleet.Rank `yaml:"rank"`
+	// Rate is in requests a second.
+	Rate float64 `yaml:"rate"`
+	// Model and WeightsVersion are those that the answers are checked against.
+	Model          string `yaml:"model"`
+	WeightsVersion string `yaml:"weights-version"`
+	MaxTokens      int    `yaml:"max-tokens"`
+	Streaming      bool   `yaml:"streaming"`
+	// CataloguePieces is the length of the prefix that all prompts share.
+	CataloguePieces int `yaml:"catalogue-pieces"`
+	// Customers is the number of customers, chosen by a Zipf law with exponent Zipf.
+	Customers      int     `yaml:"customers"`
+	CustomerPieces int     `yaml:"customer-pieces"`
+	Zipf           float64 `yaml:"zipf"`
+	// Conversations is the number of conversations of each customer.
+	Conversations      int `yaml:"conversations"`
+	ConversationPieces int `yaml:"conversation-pieces"`
+	// Shift exchanges the popular customers for others after this time; 0 for never.
+	Shift time.Duration `yaml:"shift"`
+	// Service is what orders are placed with; RepeatShare of them are sent twice.
+	Service     string  `yaml:"service"`
+	RepeatShare float64 `yaml:"repeat-share"`
+	// Floods raise the rate for a time.
+	Floods []Flood `yaml:"floods"`
+}
+
+// Flood raises the rate of a stream for a time.
+type Flood struct {
+	From   time.Duration `yaml:"from"`
+	Until  time.Duration `yaml:"until"`
+	Factor float64       `yaml:"factor"`
+}
+
+// Request is one request of a run.
+type Request struct {
+	// At is when it arrives, from the start of the run.
+	At     time.Duration
+	Stream *Stream
+	// Router is the index of the router that it goes to.
+	Router int
+	Number int
+	// Prompt is the user's prompt of a completion.
+	Prompt string
+	// Repeat says that an order is sent a second time, to another router.
+	Repeat bool
+}
+
+// Load reads a workload.
+func Load(path string) (*Workload, error) {
+	w := &Workload{Seed: 1, Duration: 10 * time.Second, CacheLife: 20 * time.Second, MaxInFlight: 2000}
+	if err := setup.Load(path, w); err != nil {
+		return nil, fmt.Errorf("load workload: %w", err)
+	}
+	return w, nil
+}
+
+// ErrField reports a value of a workload that is out of range.
+type ErrField struct{ Field, Reason string }
+
+// Error names the field.
+func (e *ErrField) Error() string { return e.Field + ": " + e.Reason }
+
+// Validate checks the workload. It returns the first fault.
+func (w *Workload) Validate() error {
+	if len(w.Routers) == 0 {
+		return &ErrField{"routers", "must hold at least one address"}
+	}
+	if w.Duration <= 0 || w.Duration > time.Hour {
+		return &ErrField{"duration", "must be above 0 and at most 1h"}
+	}
+	if w.MaxInFlight < 1 {
+		return &ErrField{"max-in-flight", "must be above 0"}
+	}
+	for i, s := range w.Streams {
+		field := fmt.Sprintf("streams[%d]", i)
+		switch {
+		case s.Kind != Completion && s.Kind != Order:
+			return &ErrField{field + ".kind", "must be completion or order"}
+		case s.Rate <= 0 || s.Rate > 10_000:
+			return &ErrField{field + ".rate", "must be above 0 and at most 10000"}
+		case s.Kind == Completion && (s.Model == "" || s.MaxTokens < 1 || s.Customers < 1 || s.Conversations < 1):
+			return &ErrField{field, "a completion needs model, max-tokens, customers and conversations"}
+		case s.Kind == Order && s.Service == "":
+			return &ErrField{field + ".service", "must name the service"}
+		}
+	}
+	return nil
+}
+
+// Requests returns the requests of the workload in the order of arrival. The
+// same workload always gives the same requests.
+func (w *Workload) Requests() []Request {
+	var out []Request
+	for i := range w.Streams {
+		g := newGenerator(w, i)
+		out = append(out, g.requests()...)
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
+	for i := range out {
+		out[i].Number = i
+		out[i].Router = i % len(w.Routers)
+	}
+	return out
+}
+
+// generator makes the requests of one stream.
+type generator struct {
+	w      *Workload
+	s      *Stream
+	rng    *rand.Rand
+	weight []float64
+}
+
+func newGenerator(w *Workload, i int) *generator {
+	g := &generator{w: w, s: &w.Streams[i], rng: rand.New(rand.NewPCG(w.Seed, uint64(i)))}
+	sum := 0.0
+	for c := range g.s.Customers {
+		sum += 1 / math.Pow(float64(c+1), g.s.Zipf)
+		g.weight = append(g.weight, sum)
+	}
+	return g
+}
+
+func (g *generator) requests() []Request {
+	var out []Request
+	for at := g.gap(0); at < g.w.Duration; at += g.gap(at) {
+		r := Request{At: at, Stream: g.s}
+		if g.s.Kind == Completion {
+			r.Prompt = g.prompt(at)
+		} else {
+			r.Repeat = g.rng.Float64() < g.s.RepeatShare
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// gap returns the time to the next arrival.
+func (g *generator) gap(at time.Duration) time.Duration {
+	rate := g.s.Rate
+	for _, f := range g.s.Floods {
+		if at >= f.From && at < f.Until {
+			rate *= f.Factor
+		}
+	}
+	return time.Duration(g.rng.ExpFloat64() / rate * float64(time.Second))
+}
+
+func (g *generator) prompt(at time.Duration) string {
+	customer := g.customer()
+	if g.s.Shift > 0 && at >= g.s.Shift {
+		customer = g.s.Customers - 1 - customer
+	}
+	conversation := g.rng.IntN(g.s.Conversations)
+	var b strings.Builder
+	b.WriteString(piece(fmt.Sprintf("catalogue of %s/%s.", g.s.Account, g.s.Name), g.s.CataloguePieces))
+	b.WriteString(piece(fmt.Sprintf("customer %d.", customer), g.s.CustomerPieces))
+	b.WriteString(piece(fmt.Sprintf("conversation %d.", conversation), g.s.ConversationPieces))
+	_, _ = fmt.Fprintf(&b, "question %d", g.rng.Uint64())
+	return b.String()
+}
+
+func (g *generator) customer() int {
+	x := g.rng.Float64() * g.weight[len(g.weight)-1]
+	return sort.SearchFloat64s(g.weight, x)
+}
+
+// piece returns text of a number of cached pieces, made of a phrase.
+func piece(phrase string, n int) string {
+	size := n * prefix.PieceBytes
+	return strings.Repeat(phrase, size/len(phrase)+1)[:size]
+}
--- /dev/null
+++ b/loads/report/report.go
@@ -0,0 +1,239 @@
+// Package report sums up a run: a table, JSON for later comparison, and plots.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cicadastand.dev/core/state/prefix"
+	"cicadastand.dev/loads/drive"
+	"cicadastand.dev/loads/plan"
+)
+
+// Summary is the sum of a run.
+type Summary struct {
+	Label   string           `json:"label"`
+	Seed    uint64           `json:"seed"`
+	Took    time.Duration    `json:"took"`
+	Skipped int              `json:"skipped"`
+	Streams []Line           `json:"streams"`
+	Orders  drive.OrderCheck `json:"orders"`
+	// HitRate and BestHitRate are shares of the prompt tokens of right answers.
+	HitRate     float64 `json:"hit-rate"`
+	BestHitRate float64 `json:"best-hit-rate"`
+	// Wasted is the share of computed prompt tokens that an engine held already.
+	Wasted float64 `json:"wasted"`
+}
+
+// Line sums up one stream.
+type Line struct {
+	Name    string         `json:"name"`
+	Asked   int            `json:"asked"`
+	Right   int            `json:"right"`
+	Refused int            `json:"refused"`
+	Unknown int            `json:"unknown"`
+	Failed  int            `json:"failed"`
+	Wrong   int            `json:"wrong"`
+	Codes   map[string]int `json:"codes"`
+	HitRate float64        `json:"hit-rate"`
+	// FirstToken and Total are in microseconds by quantile.
+	FirstToken Quantiles `json:"first-token"`
+	Total      Quantiles `json:"total"`
+	// Detail is one of the faults seen.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Quantiles are times in microseconds.
+type Quantiles struct {
+	P50 int64 `json:"p50"`
+	P95 int64 `json:"p95"`
+	P99 int64 `json:"p99"`
+	Max int64 `json:"max"`
+}
+
+const (
+	maxMicros   = int64(10 * time.Minute / time.Microsecond)
+	significant = 3
+)
+
+// Sum sums up a run.
+func Sum(label string, w *plan.Workload, requests []plan.Request, result drive.Result) Summary {
+	s := Summary{Label: label, Seed: w.Seed, Took: result.Took, Skipped: result.Skipped, Orders: result.Orders}
+	prompt, cached := 0, 0
+	for i := range w.Streams {
+		line, p, c := sumStream(w.Streams[i].Name, result.Samples)
+		s.Streams = append(s.Streams, line)
+		prompt += p
+		cached += c
+	}
+	s.HitRate = share(cached, prompt)
+	s.BestHitRate = bestHitRate(w, requests)
+	if prompt > cached {
+		s.Wasted = max(0, s.BestHitRate-s.HitRate) * float64(prompt) / float64(prompt-cached)
+	}
+	return s
+}
+
+func sumStream(name string, samples []drive.Sample) (line Line, prompt, cached int) {
+	line = Line{Name: name, Codes: make(map[string]int)}
+	first := hdrhistogram.New(1, maxMicros, significant)
+	total := hdrhistogram.New(1, maxMicros, significant)
+	for _, s := range samples {
+		if s.Stream != name {
+			continue
+		}
+		line.count(s)
+		if s.Outcome != drive.Right {
+			continue
+		}
+		prompt += s.PromptTokens
+		cached += s.CachedTokens
+		if s.FirstToken > 0 {
+			_ = first.RecordValue(s.FirstToken.Microseconds())
+		}
+		_ = total.RecordValue(s.Total.Microseconds())
+	}
+	line.HitRate = share(cached, prompt)
+	line.FirstToken = quantiles(first)
+	line.Total = quantiles(total)
+	return line, prompt, cached
+}
+
+func (l *Line) count(s drive.Sample) {
+	l.Asked++
+	switch s.Outcome {
+	case drive.Right:
+		l.Right++
+	case drive.Refused:
+		l.Refused++
+	case drive.Unknown:
+		l.Unknown++
+	case drive.Wrong:
+		l.Wrong++
+	case drive.Failed:
+		l.Failed++
+	}
+	if s.Code != "" {
+		l.Codes[s.Code]++
+	}
+	if s.Detail != "" && (l.Detail == "" || s.Outcome == drive.Wrong) {
+		l.Detail = s.Detail
+	}
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95), P99: h.ValueAtQuantile(99), Max: h.Max()}
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// bestHitRate is what one engine without a bound on memory would reach on the
+// same requests, if it kept each piece for the cache's life after its last use.
+func bestHitRate(w *plan.Workload, requests []plan.Request) float64 {
+	last := make(map[prefix.Key]time.Duration)
+	prompt, cached := 0, 0
+	for _, r := range requests {
+		if r.Stream.Kind != plan.Completion {
+			continue
+		}
+		text := "user\n" + r.Prompt + "\x1e"
+		scope := prefix.Scope{Account: r.Stream.Account, Model: r.Stream.Model, WeightsVersion: r.Stream.WeightsVersion}
+		prompt += prefix.Tokens(text)
+		held := true
+		for _, k := range prefix.Chain(scope, text) {
+			at, ok := last[k]
+			held = held && ok && r.At-at <= w.CacheLife
+			if held {
+				cached += prefix.PieceTokens
+			}
+			last[k] = r.At
+		}
+	}
+	return share(cached, prompt)
+}
+
+// Print writes the summary as a table.
+func (s Summary) Print(w io.Writer) error {
+	const gap = 2
+	tw := tabwriter.NewWriter(w, 0, 0, gap, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "STREAM\tASKED\tRIGHT\tREFUSED\tUNKNOWN\tFAILED\tWRONG\tHIT-RATE\tTTFT-P50\tTTFT-P95\tTTFT-P99\tTOTAL-P95\tCODES")
+	for _, l := range s.Streams {
+		_, _ = fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%s\t%s\t%s\t%s\t%s\n", l.Name, l.Asked, l.Right, l.Refused,
+			l.Unknown, l.Failed, l.Wrong, 100*l.HitRate, ms(l.FirstToken.P50), ms(l.FirstToken.P95), ms(l.FirstToken.P99), ms(l.Total.P95), codes(l.Codes))
+	}
+	if err := tw.Flush(); err != nil {
+		return fmt.Errorf("print table: %w", err)
+	}
+	_, err := fmt.Fprintf(w, "hit rate %.1f%% of a best possible %.1f%%; recomputed although held: %.1f%% of computed tokens\n"+
+		"orders: %d ran once, %d ran twice, %d ran behind \"not run\", %d did not run behind \"completed\"; %d requests not sent\n",
+		100*s.HitRate, 100*s.BestHitRate, 100*s.Wasted,
+		s.Orders.Placed, s.Orders.Twice, s.Orders.FalseNotRun, s.Orders.FalseDone, s.Skipped)
+	if err != nil {
+		return fmt.Errorf("print summary: %w", err)
+	}
+	return nil
+}
+
+// Sound reports whether every answer was right or an honest refusal.
+func (s Summary) Sound() bool {
+	for _, l := range s.Streams {
+		if l.Wrong > 0 {
+			return false
+		}
+	}
+	return s.Orders.Twice == 0 && s.Orders.FalseNotRun == 0 && s.Orders.FalseDone == 0
+}
+
+// Write stores the summary and its plots in a folder.
+func (s Summary) Write(folder string, samples []drive.Sample) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return fmt.Errorf("make report folder: %w", err)
+	}
+	raw, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode summary: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "summary.json"), raw, 0o644); err != nil {
+		return fmt.Errorf("write summary: %w", err)
+	}
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "# Run %s, seed %d\n\n```\n", s.Label, s.Seed)
+	if err := s.Print(&b); err != nil {
+		return err
+	}
+	b.WriteString("```\n\n![time to first token](first-token.png)\n")
+	if err := os.WriteFile(filepath.Join(folder, "report.md"), []byte(b.String()), 0o644); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return plotFirstToken(filepath.Join(folder, "first-token.png"), samples)
+}
+
+func ms(micros int64) string {
+	return (time.Duration(micros) * time.Microsecond).Round(100 * time.Microsecond).String()
+}
+
+func codes(by map[string]int) string {
+	if len(by) == 0 {
+		return "-"
+	}
+	var parts []string
+	for _, c := range slices.Sorted(maps.Keys(by)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", c, by[c]))
+	}
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/router/chore/chore.go
@@ -0,0 +1,143 @@
+// Package chore does what the fleet of hosts needs done once in a while: reading
+// the platform's list, heartbeat records and checkpoints. Which host does it is
+// a soft choice; doing it twice is harmless.
+package chore
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/coord/follow"
+	"cicadastand.dev/core/coord/member"
+	"cicadastand.dev/core/coord/route"
+	"cicadastand.dev/core/proto/logapi"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/stream"
+)
+
+// Platform is what the chores need of the platform.
+type Platform interface {
+	Append(ctx context.Context, name string, data []byte) (uint64, error)
+	Hosts(ctx context.Context) ([]logapi.Host, error)
+}
+
+// Config says what the chores work with.
+type Config struct {
+	Clock    clock.Service
+	Platform Platform
+	Members  *member.Table
+	Store    *follow.Store
+	Self     string
+	// ListInterval is the time between reads of the platform's list.
+	ListInterval time.Duration
+	Logger       hclog.Logger
+}
+
+const (
+	heartbeatEvery  = 2 * time.Second
+	checkpointEvery = time.Minute
+	// checkpointBytes bounds the document text of one checkpoint record.
+	checkpointBytes = 256 << 10
+)
+
+// Runner does the chores.
+type Runner struct {
+	cfg        Config
+	checkpoint uint64
+}
+
+// New returns a runner that has not started.
+func New(cfg Config) *Runner { return &Runner{cfg: cfg} }
+
+// Run does the chores until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	list := r.cfg.Clock.Subscribe(r.cfg.ListInterval)
+	defer list.Stop()
+	beat := r.cfg.Clock.Subscribe(heartbeatEvery)
+	defer beat.Stop()
+	checkpoint := r.cfg.Clock.Subscribe(checkpointEvery)
+	defer checkpoint.Stop()
+	r.readList(ctx)
+	for {
+		select {
+		case <-list.C():
+			r.readList(ctx)
+		case <-beat.C():
+			r.heartbeat(ctx)
+		case <-checkpoint.C():
+			r.Checkpoint(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Runner) readList(ctx context.Context) {
+	hosts, err := r.cfg.Platform.Hosts(ctx)
+	if err != nil {
+		r.cfg.Logger.Debug("list can't be read", "error", err)
+		return
+	}
+	r.cfg.Members.List(lo.Map(hosts, memberOf), r.cfg.Clock.Now())
+}
+
+func memberOf(h logapi.Host, _ int) member.Host {
+	state := member.Live
+	if h.State == logapi.HostLeaving {
+		state = member.Leaving
+	}
+	return member.Host{Name: h.Name, FailureDomain: h.FailureDomain, Address: h.Address, State: state}
+}
+
+// mine reports whether this host does a chore, as far as it knows.
+func (r *Runner) mine(chore string) bool {
+	live := r.cfg.Members.Find(member.FindOptions{States: []member.State{member.Live}})
+	key := route.NameKey(chore)
+	owner := lo.MaxBy(live, func(a, b member.Host) bool { return route.Score(key, a.Name) > route.Score(key, b.Name) })
+	return owner.Name == r.cfg.Self
+}
+
+func (r *Runner) heartbeat(ctx context.Context) {
+	if !r.mine("heartbeat") {
+		return
+	}
+	beat := &conf.Heartbeat{Host: r.cfg.Self, Sent: r.cfg.Clock.Now()}
+	r.append(ctx, conf.Record{Kind: conf.KindHeartbeat, ID: uuid.NewString(), Heartbeat: beat})
+}
+
+// Checkpoint appends the current state, if this host is the one to do it and
+// the state has changed since.
+func (r *Runner) Checkpoint(ctx context.Context) {
+	if !r.mine("checkpoint") {
+		return
+	}
+	snap := r.cfg.Store.Snapshot()
+	if snap.Offset == 0 || snap.Offset == r.checkpoint || len(snap.Documents) == 0 {
+		return
+	}
+	for _, rec := range snap.Checkpoints(uuid.NewString(), checkpointBytes) {
+		if !r.append(ctx, rec) {
+			return
+		}
+	}
+	r.checkpoint = snap.Offset
+	r.cfg.Logger.Info("checkpoint appended", "offset", snap.Offset, "documents", len(snap.Documents))
+}
+
+func (r *Runner) append(ctx context.Context, rec conf.Record) bool {
+	data, err := rec.Encode()
+	if err != nil {
+		r.cfg.Logger.Error("record can't be encoded", "error", err)
+		return false
+	}
+	if _, err := r.cfg.Platform.Append(ctx, stream.Config, data); err != nil {
+		r.cfg.Logger.Debug("append failed", "kind", rec.Kind, "error", err)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/router/cli/cli.go
@@ -0,0 +1,76 @@
+// Package cli is the command line of the router.
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/router/node"
+	"cicadastand.dev/router/prefs"
+)
+
+// The exit codes of the program.
+const (
+	exitOK       = 0
+	exitFault    = 1
+	exitSettings = 2
+)
+
+// Run runs a router until it is signalled or drained. It returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet("cicada-router", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	path := fs.String("settings", "router.yaml", "file with the settings")
+	checkOnly := fs.Bool("check-settings", false, "check the settings and exit")
+	if err := fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitOK
+		}
+		return exitSettings
+	}
+	settings, err := prefs.Load(*path)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if *checkOnly {
+		_, _ = fmt.Fprintf(stdout, "%s is valid\n", *path)
+		return exitOK
+	}
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name:       "router",
+		Level:      hclog.LevelFromString(settings.Log.Level),
+		JSONFormat: settings.Log.JSON,
+		Output:     stderr,
+	})
+	if err := serve(settings, logger); err != nil {
+		logger.Error("ended with a fault", "error", err)
+		return exitFault
+	}
+	return exitOK
+}
+
+func serve(settings prefs.Settings, logger hclog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	n := node.New(settings, clock.New(), logger)
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-n.Draining():
+	}
+	// From here on a second signal ends the process at once.
+	stop()
+	n.Drain()
+	return n.Stop(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/router/front/complete.go
@@ -0,0 +1,204 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cicadastand.dev/core/coord/admit"
+	"cicadastand.dev/core/coord/limit"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/proto/openai"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/usage"
+	"cicadastand.dev/router/send"
+)
+
+func (s *Server) complete(kind openai.Kind) func(*exchange) error {
+	return func(x *exchange) error {
+		job, err := s.readJob(x, kind)
+		if err != nil {
+			return err
+		}
+		s.cfg.Usage.Asked(x.usageKey())
+		pass, err := s.admit(x, job)
+		if err != nil {
+			e := admissionError(err)
+			s.cfg.Usage.Refused(x.usageKey(), string(e.Code))
+			return e
+		}
+		defer s.cfg.Limits.Leave(x.contract.Account)
+		defer pass.Done()
+		s.cfg.Usage.Admitted(x.usageKey())
+		return s.run(x, job)
+	}
+}
+
+func (s *Server) readJob(x *exchange, kind openai.Kind) (*send.Job, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.cfg.MaxBodyBytes))
+	if err != nil {
+		return nil, readFault(err)
+	}
+	req, err := openai.Parse(kind, body)
+	if err != nil {
+		return nil, err
+	}
+	model, ok := x.view.Fleet.Model(req.Model)
+	if !ok || !x.contract.AllowsModel(req.Model) {
+		e := openai.NewError(http.StatusNotFound, openai.CodeNotFound, "the contract names no model %q", req.Model)
+		e.Param = "model"
+		return nil, e
+	}
+	resume := 0
+	if v := x.r.Header.Get(HeaderLastEvent); v != "" {
+		resume, err = strconv.Atoi(v)
+		if err != nil || resume < 0 || !req.Stream {
+			return nil, badHeader(HeaderLastEvent, "must be the number of an event of a stream")
+		}
+	}
+	return send.NewJob(x.id, x.contract.Account, x.rank, model, req, resume)
+}
+
+// admit holds the request to the account's limits and waits for its turn.
+func (s *Server) admit(x *exchange, job *send.Job) (*admit.Pass, error) {
+	now := s.cfg.Clock.Now()
+	if err := s.cfg.Poison.Check(job.Fingerprint(), x.view.Fleet.CrashLimit, now); err != nil {
+		return nil, err
+	}
+	if err := s.cfg.Limits.Enter(x.contract, job.Tokens(), now); err != nil {
+		return nil, err
+	}
+	ask := admit.Ask{
+		Account: x.contract.Account,
+		Rank:    x.rank,
+		Weight:  x.contract.Weight,
+		Cost:    float64(job.Tokens()),
+		MaxWait: min(x.contract.Target(x.rank).FirstToken, x.deadline),
+	}
+	pass, err := s.cfg.Gates.Gate(job.Model.Name).Enter(x.r.Context(), ask)
+	if err != nil {
+		s.cfg.Limits.Leave(x.contract.Account)
+		return nil, err
+	}
+	return pass, nil
+}
+
+func (s *Server) run(x *exchange, job *send.Job) error {
+	left := x.deadline - s.cfg.Clock.Now().Sub(x.started)
+	ctx, cancel := clock.WithTimeout(x.r.Context(), s.cfg.Clock, left)
+	defer cancel()
+	var out sink
+	if job.Request.Stream {
+		out = newStreamSink(x, job, s.cfg.Clock, s.cfg.WriteTimeout)
+	} else {
+		out = &wholeSink{collector: openai.NewCollector(job.Request.Kind)}
+	}
+	result, err := s.cfg.Runner.Run(ctx, job, out)
+	s.note(x, result, err)
+	if err != nil {
+		return s.runError(x, out, ctx, err)
+	}
+	return out.finish(x)
+}
+
+// note enters the end of a request into the usage book.
+func (s *Server) note(x *exchange, result send.Result, err error) {
+	end := usage.Result{
+		Whole:        err == nil,
+		PromptTokens: result.PromptTokens,
+		CachedTokens: result.CachedTokens,
+		AnswerTokens: result.AnswerTokens,
+	}
+	if !result.FirstToken.IsZero() {
+		end.FirstToken = result.FirstToken.Sub(x.started)
+	}
+	target := x.contract.Target(x.rank)
+	end.InTime = end.FirstToken <= target.FirstToken && s.cfg.Clock.Now().Sub(x.started) <= target.Deadline
+	s.cfg.Usage.Ended(x.usageKey(), end)
+	x.log.Debug("request ended", "endpoint", result.Endpoint, "sends", result.Sends,
+		"cached-tokens", result.CachedTokens, "first-token", end.FirstToken.Round(time.Millisecond), "error", err)
+}
+
+// runError answers for a request that was admitted and not completed.
+func (s *Server) runError(x *exchange, out sink, ctx context.Context, err error) error {
+	if send.IsErrCaller(err) || x.r.Context().Err() != nil {
+		x.log.Debug("caller is gone", "error", err)
+		panic(http.ErrAbortHandler)
+	}
+	e := completionError(ctx, err)
+	if out.started() {
+		x.log.Info("stream ended early", "code", e.Code, "error", err)
+		out.fail(x, e)
+		return nil
+	}
+	return e
+}
+
+func completionError(ctx context.Context, err error) *openai.Error {
+	var typed *openai.Error
+	var suspect *poison.ErrRefused
+	var incomplete *send.ErrIncomplete
+	switch {
+	case errors.As(err, &typed):
+		return typed
+	case errors.As(err, &suspect):
+		e := openai.NewError(http.StatusUnprocessableEntity, openai.CodeSuspect, "%v", err)
+		e.RunState = openai.OutcomeUnknown
+		return e
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		e := openai.NewError(http.StatusGatewayTimeout, openai.CodeDeadline, "the deadline has passed")
+		e.RunState = openai.OutcomeUnknown
+		return e
+	case errors.As(err, &incomplete):
+		e := openai.NewError(http.StatusBadGateway, openai.CodeIncomplete, "%v", err)
+		e.RunState = openai.OutcomeUnknown
+		return e
+	default:
+		e := openai.NewError(http.StatusServiceUnavailable, openai.CodeUnavailable, "%v", err)
+		e.RunState = openai.OutcomeUnknown
+		if send.IsErrNoEndpoint(err) {
+			e.RetryAfter = time.Second
+		}
+		return e
+	}
+}
+
+// admissionError gives a refusal before the request was sent anywhere its type.
+func admissionError(err error) *openai.Error {
+	var over *admit.ErrOverload
+	var limited *limit.ErrLimit
+	var suspect *poison.ErrRefused
+	switch {
+	case errors.As(err, &over):
+		e := openai.NewError(http.StatusTooManyRequests, openai.CodeOverload, "%v", err)
+		e.RetryAfter = max(over.RetryAfter, time.Second)
+		return e
+	case errors.As(err, &limited):
+		e := openai.NewError(http.StatusTooManyRequests, openai.CodeLimit, "%v", err)
+		e.Param = string(limited.Resource)
+		e.RetryAfter = max(limited.RetryAfter, time.Second)
+		return e
+	case errors.As(err, &suspect):
+		return openai.NewError(http.StatusUnprocessableEntity, openai.CodeSuspect, "%v", err)
+	default:
+		return openai.NewError(http.StatusServiceUnavailable, openai.CodeUnavailable, "%v", err)
+	}
+}
+
+func requestID(r *http.Request) string {
+	id := r.Header.Get(HeaderRequestID)
+	if id == "" || len(id) > maxRequestIDSize {
+		return uuid.NewString()
+	}
+	for _, c := range id {
+		if c <= ' ' || c > '~' {
+			return uuid.NewString()
+		}
+	}
+	return id
+}
--- /dev/null
+++ b/router/front/front.go
@@ -0,0 +1,232 @@
+// Package front is the interface for callers: the OpenAI protocol and plain services.
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/coord/admit"
+	"cicadastand.dev/core/coord/limit"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/proto/openai"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/usage"
+	"cicadastand.dev/router/order"
+	"cicadastand.dev/router/send"
+)
+
+// Views gives the configuration in force.
+type Views interface {
+	View() *conf.View
+}
+
+// Gates gives the admission gate of a model.
+type Gates interface {
+	Gate(model string) *admit.Gate
+}
+
+// Runner runs admitted completions.
+type Runner interface {
+	Run(ctx context.Context, job *send.Job, sink send.Sink) (send.Result, error)
+}
+
+// Caller runs calls of plain services.
+type Caller interface {
+	Call(ctx context.Context, req order.Request) (order.Answer, error)
+}
+
+// Config says what a Server works with.
+type Config struct {
+	Clock        clock.Service
+	Views        Views
+	Gates        Gates
+	Runner       Runner
+	Caller       Caller
+	Limits       *limit.Local
+	Poison       *poison.Table
+	Usage        *usage.Book
+	MaxBodyBytes int64
+	// WriteTimeout bounds each write to a slow reader.
+	WriteTimeout time.Duration
+	Logger       hclog.Logger
+	Metrics      *metrics.Set
+}
+
+// The headers that callers may send or get.
+const (
+	HeaderRequestID  = "X-Request-Id"
+	HeaderRank       = "Cicada-Rank"
+	HeaderDeadline   = "Cicada-Deadline"
+	HeaderLastEvent  = "Last-Event-ID"
+	HeaderRunState   = "Cicada-Run-State"
+	maxRequestIDSize = 128
+)
+
+// Server answers callers.
+type Server struct {
+	cfg      Config
+	stopping atomic.Bool
+	asked    *metrics.Counter
+	inFlight atomic.Int64
+}
+
+// New returns a server.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, asked: cfg.Metrics.NewCounter("cicada_caller_requests_total")}
+	cfg.Metrics.NewGauge("cicada_caller_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
+	return s
+}
+
+// Handler returns the HTTP interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.wrap(s.complete(openai.Chat)))
+	mux.HandleFunc("POST /v1/completions", s.wrap(s.complete(openai.Text)))
+	mux.HandleFunc("GET /v1/models", s.wrap(s.models))
+	mux.HandleFunc("/v1/services/{service}/{path...}", s.wrap(s.service))
+	mux.HandleFunc("/", s.wrap(notFound))
+	return mux
+}
+
+// Stop makes callers open their next connection elsewhere. Requests that still
+// arrive are served.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// InFlight returns the number of requests in progress.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// exchange is one request with the contract that governs it.
+type exchange struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	contract *fleet.Contract
+	view     *conf.View
+	rank     fleet.Rank
+	deadline time.Duration
+	started  time.Time
+	log      hclog.Logger
+}
+
+func (s *Server) wrap(handle func(*exchange) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		s.asked.Inc()
+		x := &exchange{w: w, r: r, id: requestID(r), view: s.cfg.Views.View(), started: s.cfg.Clock.Now()}
+		x.log = s.cfg.Logger.With("request", x.id)
+		w.Header().Set(HeaderRequestID, x.id)
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		if err := s.open(x); err != nil {
+			x.fail(err)
+			return
+		}
+		if err := handle(x); err != nil {
+			x.fail(err)
+		}
+	}
+}
+
+// open checks who calls and what the contract lets the request ask for.
+func (s *Server) open(x *exchange) error {
+	if x.view.Offset == 0 {
+		e := openai.NewError(http.StatusServiceUnavailable, openai.CodeNotReady, "this host has no configuration yet")
+		e.RetryAfter = time.Second
+		return e
+	}
+	key, ok := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return openai.NewError(http.StatusUnauthorized, openai.CodeUnauthorized, "Authorization must be Bearer and a key")
+	}
+	contract, ok := x.view.Authenticate(key)
+	if !ok {
+		return openai.NewError(http.StatusUnauthorized, openai.CodeUnauthorized, "the key belongs to no account")
+	}
+	x.contract = contract
+	return x.readTerms()
+}
+
+// readTerms reads the rank and the deadline of a request.
+func (x *exchange) readTerms() error {
+	x.rank = x.contract.Rank
+	if v := x.r.Header.Get(HeaderRank); v != "" {
+		x.rank = fleet.Rank(v)
+	}
+	if !x.rank.Valid() {
+		return badHeader(HeaderRank, "must be urgent or other")
+	}
+	if !x.contract.AllowsRank(x.rank) {
+		e := openai.NewError(http.StatusForbidden, openai.CodeForbidden, "the contract does not allow rank %s", x.rank)
+		e.Param = HeaderRank
+		return e
+	}
+	x.deadline = x.contract.Target(x.rank).Deadline
+	if v := x.r.Header.Get(HeaderDeadline); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 {
+			return badHeader(HeaderDeadline, "must be a duration such as 800ms")
+		}
+		x.deadline = min(d, x.deadline)
+	}
+	return nil
+}
+
+func (x *exchange) usageKey() usage.Key { return usage.Key{Account: x.contract.Account, Rank: x.rank} }
+
+// fail answers with an error.
+func (x *exchange) fail(err error) {
+	e := openai.AsError(err)
+	x.log.Debug("request failed", "code", e.Code, "state", e.RunState, "error", e.Message)
+	x.w.Header().Set(HeaderRunState, string(e.RunState))
+	e.Write(x.w)
+}
+
+func badHeader(name, reason string) error {
+	e := openai.NewError(http.StatusBadRequest, openai.CodeBadField, "%s %s", name, reason)
+	e.Param = name
+	return e
+}
+
+func notFound(x *exchange) error {
+	return openai.NewError(http.StatusNotFound, openai.CodeNotFound, "no such path: %s", x.r.URL.Path)
+}
+
+func (s *Server) models(x *exchange) error {
+	list := openai.ModelList{Object: "list", Data: []openai.Model{}}
+	for _, m := range x.view.Fleet.Models {
+		if x.contract.AllowsModel(m.Name) {
+			list.Data = append(list.Data, openai.Model{ID: m.Name, Object: "model", OwnedBy: "cicadastand"})
+		}
+	}
+	return x.reply(list)
+}
+
+func (x *exchange) reply(body any) error {
+	x.w.Header().Set("Content-Type", "application/json")
+	x.w.Header().Set(HeaderRunState, string(openai.Completed))
+	if err := json.NewEncoder(x.w).Encode(body); err != nil {
+		x.log.Debug("answer can't be written", "error", err)
+	}
+	return nil
+}
+
+// readFault gives a failure to read a body its type.
+func readFault(err error) error {
+	var big *http.MaxBytesError
+	if errors.As(err, &big) {
+		return openai.NewError(http.StatusRequestEntityTooLarge, openai.CodeTooLarge, "the body may have at most %d bytes", big.Limit)
+	}
+	return openai.NewError(http.StatusBadRequest, openai.CodeBadField, "the body can't be read: %v", err)
+}
--- /dev/null
+++ b/router/front/service.go
@@ -0,0 +1,78 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"cicadastand.dev/core/proto/openai"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/usage"
+	"cicadastand.dev/router/order"
+)
+
+// The headers of calls of plain services.
+const (
+	headerKey        = "Idempotency-Key"
+	headerKeyCreated = "Idempotency-Key-Created"
+	headerRetryCount = "Idempotency-Retry-Count"
+	headerSource     = "Cicada-Outcome-Source"
+)
+
+// service passes a call on to a plain service.
+func (s *Server) service(x *exchange) error {
+	name := x.r.PathValue("service")
+	svc, ok := x.view.Fleet.Service(name)
+	if !ok || !x.contract.AllowsService(name) {
+		return openai.NewError(http.StatusNotFound, openai.CodeNotFound, "the contract names no service %q", name)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.cfg.MaxBodyBytes))
+	if err != nil {
+		return readFault(err)
+	}
+	req := order.Request{
+		ID:          x.id,
+		Account:     x.contract.Account,
+		Service:     svc,
+		Method:      x.r.Method,
+		Path:        "/" + strings.TrimPrefix(x.r.PathValue("path"), "/"),
+		Query:       x.r.URL.RawQuery,
+		ContentType: x.r.Header.Get("Content-Type"),
+		Body:        body,
+		Key:         x.r.Header.Get(headerKey),
+		KeyCreated:  x.r.Header.Get(headerKeyCreated),
+		FirstTry:    x.r.Header.Get(headerRetryCount) == "0",
+	}
+	s.cfg.Usage.Asked(x.usageKey())
+	if err := s.cfg.Limits.Enter(x.contract, 0, s.cfg.Clock.Now()); err != nil {
+		e := admissionError(err)
+		e.RunState = req.RefusedState()
+		s.cfg.Usage.Refused(x.usageKey(), string(e.Code))
+		return e
+	}
+	defer s.cfg.Limits.Leave(x.contract.Account)
+	s.cfg.Usage.Admitted(x.usageKey())
+	return s.call(x, req)
+}
+
+func (s *Server) call(x *exchange, req order.Request) error {
+	ctx, cancel := clock.WithTimeout(x.r.Context(), s.cfg.Clock, x.deadline)
+	defer cancel()
+	answer, err := s.cfg.Caller.Call(ctx, req)
+	now := s.cfg.Clock.Now()
+	s.cfg.Usage.Ended(x.usageKey(), usage.Result{Whole: err == nil, InTime: now.Sub(x.started) <= x.deadline})
+	if err != nil {
+		return err
+	}
+	h := x.w.Header()
+	if answer.ContentType != "" {
+		h.Set("Content-Type", answer.ContentType)
+	}
+	h.Set(HeaderRunState, string(openai.Completed))
+	h.Set(headerSource, string(answer.Source))
+	x.w.WriteHeader(answer.Status)
+	if _, err := x.w.Write(answer.Body); err != nil {
+		x.log.Debug("answer can't be written", "error", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/router/front/sink.go
@@ -0,0 +1,112 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"cicadastand.dev/core/proto/openai"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/router/send"
+)
+
+// sink takes an answer for a caller.
+type sink interface {
+	send.Sink
+	// started reports whether the caller has a part of the answer.
+	started() bool
+	// finish ends a whole answer.
+	finish(x *exchange) error
+	// fail ends an answer that can't be completed.
+	fail(x *exchange, e *openai.Error)
+}
+
+// wholeSink collects the answer and hands it over at once.
+type wholeSink struct {
+	collector *openai.Collector
+}
+
+func (s *wholeSink) Event(_ context.Context, _ int, data []byte) error {
+	if string(data) == openai.Done {
+		return nil
+	}
+	return s.collector.Add(data)
+}
+
+func (s *wholeSink) started() bool { return false }
+
+func (s *wholeSink) finish(x *exchange) error { return x.reply(s.collector.Answer()) }
+
+func (s *wholeSink) fail(*exchange, *openai.Error) {}
+
+// streamSink passes the events on as they come.
+type streamSink struct {
+	x            *exchange
+	out          *http.ResponseController
+	clock        clock.Service
+	writeTimeout time.Duration
+	usage        bool
+	open         bool
+}
+
+func newStreamSink(x *exchange, job *send.Job, service clock.Service, writeTimeout time.Duration) *streamSink {
+	return &streamSink{
+		x:            x,
+		out:          http.NewResponseController(x.w),
+		clock:        service,
+		writeTimeout: writeTimeout,
+		usage:        job.Request.IncludeUsage,
+	}
+}
+
+// Event writes one event. The usage chunk keeps its number but not its content
+// when the caller did not ask for it, so that numbers are the same for all.
+func (s *streamSink) Event(_ context.Context, number int, data []byte) error {
+	if !s.open {
+		s.open = true
+		s.x.w.Header().Set("Content-Type", "text/event-stream")
+		s.x.w.Header().Set("Cache-Control", "no-store")
+		s.x.w.WriteHeader(http.StatusOK)
+	}
+	if !s.usage && isUsage(data) {
+		return s.write(fmt.Sprintf(": %d\n\n", number))
+	}
+	return s.write(fmt.Sprintf("id: %d\ndata: %s\n\n", number, data))
+}
+
+func (s *streamSink) write(text string) error {
+	if err := s.out.SetWriteDeadline(s.clock.Now().Add(s.writeTimeout)); err != nil {
+		return fmt.Errorf("set write deadline: %w", err)
+	}
+	if _, err := s.x.w.Write([]byte(text)); err != nil {
+		return fmt.Errorf("write event: %w", err)
+	}
+	if err := s.out.Flush(); err != nil {
+		return fmt.Errorf("flush event: %w", err)
+	}
+	return nil
+}
+
+func (s *streamSink) started() bool { return s.open }
+
+func (s *streamSink) finish(*exchange) error { return nil }
+
+// fail ends the stream with a typed error event.
+func (s *streamSink) fail(x *exchange, e *openai.Error) {
+	data, err := json.Marshal(openai.ErrorBody{Error: e})
+	if err != nil {
+		x.log.Error("error can't be encoded", "error", err)
+		return
+	}
+	if err := s.write(fmt.Sprintf("event: error\ndata: %s\n\n", data)); err != nil {
+		x.log.Debug("error can't be written", "error", err)
+	}
+}
+
+// isUsage reports whether the data is the chunk that carries the usage alone.
+func isUsage(data []byte) bool {
+	return strings.Contains(string(data), `"choices":[],"usage"`)
+}
--- /dev/null
+++ b/router/node/node.go
@@ -0,0 +1,292 @@
+// Package node builds a router process from its parts and runs it.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/do/v2"
+
+	"cicadastand.dev/core/coord/claim"
+	"cicadastand.dev/core/coord/follow"
+	"cicadastand.dev/core/coord/health"
+	"cicadastand.dev/core/coord/limit"
+	"cicadastand.dev/core/coord/member"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/proto/logapi"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/index"
+	"cicadastand.dev/core/state/stream"
+	"cicadastand.dev/core/trans/httpd"
+	"cicadastand.dev/router/certs"
+	"cicadastand.dev/router/chore"
+	"cicadastand.dev/router/front"
+	"cicadastand.dev/router/oper"
+	"cicadastand.dev/router/order"
+	"cicadastand.dev/router/peer"
+	"cicadastand.dev/router/pool"
+	"cicadastand.dev/router/prefs"
+	"cicadastand.dev/router/probe"
+	"cicadastand.dev/router/send"
+)
+
+// Node is a router process.
+type Node struct {
+	settings prefs.Settings
+	scope    *do.RootScope
+	logger   hclog.Logger
+	clock    clock.Service
+	started  time.Time
+
+	front   *front.Server
+	callers *httpd.Server
+	opers   *httpd.Server
+
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+	drain   chan struct{}
+	drained sync.Once
+}
+
+// New builds the parts of a process.
+func New(settings prefs.Settings, service clock.Service, logger hclog.Logger) *Node {
+	n := &Node{
+		settings: settings,
+		scope:    do.New(),
+		logger:   logger,
+		clock:    service,
+		started:  service.Now(),
+		drain:    make(chan struct{}),
+	}
+	provide(n)
+	return n
+}
+
+// part runs one loop of the process.
+type part struct {
+	loop func(context.Context)
+	done *sync.WaitGroup
+}
+
+func (p *part) run(ctx context.Context) {
+	defer p.done.Done()
+	p.loop(ctx)
+}
+
+// Start opens the listeners and starts the loops. After an error nothing runs.
+func (n *Node) Start(ctx context.Context) error {
+	if err := n.loadSnapshot(); err != nil {
+		return err
+	}
+	if err := do.MustInvoke[*peer.Service](n.scope).Listen(ctx); err != nil {
+		return fmt.Errorf("start node: %w", err)
+	}
+	// The loops outlive ctx: a graceful stop needs them until the last request ends.
+	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	n.cancel = cancel
+	for _, loop := range n.loops() {
+		n.workers.Add(1)
+		p := &part{loop: loop, done: &n.workers}
+		go p.run(loops)
+	}
+	if err := n.listen(ctx); err != nil {
+		n.Close()
+		return fmt.Errorf("start node: %w", err)
+	}
+	n.logger.Info("started", "callers", n.callers.Address(), "operators", n.opers.Address(), "peers", n.settings.Peers.Address)
+	return nil
+}
+
+func (n *Node) loops() []func(context.Context) {
+	return []func(context.Context){
+		do.MustInvokeNamed[*follow.Reader](n.scope, stream.Config).Run,
+		do.MustInvokeNamed[*follow.Reader](n.scope, stream.Claims).Run,
+		do.MustInvoke[*claim.Coordinator](n.scope).Run,
+		do.MustInvoke[*peer.Service](n.scope).Run,
+		do.MustInvoke[*chore.Runner](n.scope).Run,
+		do.MustInvoke[*probe.Prober](n.scope).Run,
+		do.MustInvoke[*pool.Pool](n.scope).Run,
+	}
+}
+
+func (n *Node) listen(ctx context.Context) error {
+	callerTLS, err := serverTLS(n.settings.Callers.TLS)
+	if err != nil {
+		return err
+	}
+	operTLS, err := serverTLS(n.settings.Operators.TLS)
+	if err != nil {
+		return err
+	}
+	n.front = do.MustInvoke[*front.Server](n.scope)
+	n.callers, err = httpd.Listen(ctx, httpd.Config{
+		Address:     n.settings.Callers.Address,
+		Handler:     n.front.Handler(),
+		Logger:      n.logger.Named("callers"),
+		TLS:         callerTLS,
+		ReadTimeout: n.settings.Callers.ReadTimeout,
+		IdleTimeout: n.settings.Callers.IdleTimeout,
+	})
+	if err != nil {
+		return err
+	}
+	n.opers, err = httpd.Listen(ctx, httpd.Config{
+		Address: n.settings.Operators.Address,
+		Handler: do.MustInvoke[*oper.Server](n.scope).Handler(),
+		Logger:  n.logger.Named("operators"),
+		TLS:     operTLS,
+	})
+	return err
+}
+
+func serverTLS(files prefs.TLS) (*tls.Config, error) {
+	if !files.Enabled() {
+		return nil, nil
+	}
+	pair, err := certs.New(files)
+	if err != nil {
+		return nil, err
+	}
+	return pair.Server(), nil
+}
+
+// loadSnapshot takes the snapshot that the settings name. Anything newer replaces it.
+func (n *Node) loadSnapshot() error {
+	if n.settings.Snapshot == "" {
+		return nil
+	}
+	data, err := os.ReadFile(n.settings.Snapshot)
+	if err != nil {
+		return fmt.Errorf("read snapshot: %w", err)
+	}
+	snap, err := conf.DecodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	return do.MustInvoke[*follow.Store](n.scope).Restore(snap, "settings")
+}
+
+// Drain asks for a graceful stop.
+func (n *Node) Drain() { n.drained.Do(func() { close(n.drain) }) }
+
+// Draining returns a channel that is closed once a graceful stop was asked for.
+func (n *Node) Draining() <-chan struct{} { return n.drain }
+
+// ErrGrace reports a graceful stop that did not end in time.
+var ErrGrace = errors.New("requests were still in progress at the end of the grace time")
+
+// Stop tells peers, balancer and callers to move on, waits for the requests in
+// progress and for the claims stream to have every outcome and release, and ends
+// the process's parts. No request is cut short.
+func (n *Node) Stop(ctx context.Context) error {
+	n.logger.Info("stopping", "in-flight", n.front.InFlight())
+	ctx, cancel := clock.WithTimeout(ctx, n.clock, n.settings.Stop.Grace)
+	defer cancel()
+	do.MustInvoke[*peer.Service](n.scope).Leave(ctx)
+	n.front.Stop()
+	_ = clock.Sleep(ctx, n.clock, n.settings.Stop.Notice)
+	err := n.callers.Shutdown(ctx)
+	if !do.MustInvoke[*claim.Coordinator](n.scope).Drain(ctx) || err != nil {
+		err = ErrGrace
+	}
+	n.Close()
+	n.logger.Info("stopped", "error", err)
+	return err
+}
+
+// Close ends everything at once.
+func (n *Node) Close() {
+	if n.callers != nil {
+		n.callers.Close()
+	}
+	if n.opers != nil {
+		n.opers.Close()
+	}
+	n.cancel()
+	n.workers.Wait()
+	do.MustInvoke[*peer.Service](n.scope).Close()
+	do.MustInvoke[*logapi.Client](n.scope).Close()
+	do.MustInvoke[*send.Dispatcher](n.scope).Close()
+	do.MustInvoke[*order.Caller](n.scope).Close()
+	do.MustInvoke[*probe.Prober](n.scope).Close()
+}
+
+// Ready reports whether the process can serve, and why not.
+func (n *Node) Ready() (bool, string) {
+	store := do.MustInvoke[*follow.Store](n.scope)
+	select {
+	case <-n.drain:
+		return false, "stopping"
+	default:
+	}
+	if store.Offset() == 0 {
+		return false, "no configuration: neither log nor peer nor snapshot has given one"
+	}
+	return true, fmt.Sprintf("configuration at offset %d from %s", store.Offset(), store.Source())
+}
+
+// State is the dump of a process.
+type State struct {
+	Host          string                   `json:"host"`
+	FailureDomain string                   `json:"failure-domain"`
+	Uptime        string                   `json:"uptime"`
+	Ready         string                   `json:"ready"`
+	ConfigOffset  uint64                   `json:"config-offset"`
+	ConfigSource  string                   `json:"config-source"`
+	ConfigLag     string                   `json:"config-lag"`
+	Contracts     int                      `json:"contracts"`
+	InFlight      int64                    `json:"in-flight"`
+	Hosts         []member.Host            `json:"hosts"`
+	Endpoints     map[string]health.Status `json:"endpoints"`
+	Gates         any                      `json:"gates"`
+	Claims        claim.Stats              `json:"claims"`
+	IndexKeys     int                      `json:"index-keys"`
+	ActiveAccts   int                      `json:"active-accounts"`
+	SplitAccts    int                      `json:"split-accounts"`
+	Suspects      int                      `json:"suspects"`
+}
+
+const maxDumpSuspects = 1000
+
+// Dump returns the state of the process for a person to read.
+func (n *Node) Dump() any {
+	store := do.MustInvoke[*follow.Store](n.scope)
+	now := n.clock.Now()
+	_, ready := n.Ready()
+	return State{
+		Host:          n.settings.Host.Name,
+		FailureDomain: n.settings.Host.FailureDomain,
+		Uptime:        now.Sub(n.started).Round(time.Second).String(),
+		Ready:         ready,
+		ConfigOffset:  store.Offset(),
+		ConfigSource:  store.Source(),
+		ConfigLag:     lag(store, now),
+		Contracts:     store.View().Contracts(),
+		InFlight:      n.front.InFlight(),
+		Hosts:         do.MustInvoke[*member.Table](n.scope).Find(member.FindOptions{}),
+		Endpoints:     do.MustInvoke[*health.Table](n.scope).All(),
+		Gates:         do.MustInvoke[*pool.Pool](n.scope).Stats(),
+		Claims:        do.MustInvoke[*claim.Coordinator](n.scope).Stats(),
+		IndexKeys:     do.MustInvoke[*index.Index](n.scope).Len(),
+		ActiveAccts:   do.MustInvoke[*limit.Local](n.scope).Len(),
+		SplitAccts:    do.MustInvoke[*limit.Keeper](n.scope).Len(),
+		Suspects:      len(do.MustInvoke[*poison.Table](n.scope).Suspects(maxDumpSuspects, now)),
+	}
+}
+
+// lag is the age of the newest heartbeat record: an upper bound on how far this
+// host's configuration is behind the log.
+func lag(store *follow.Store, now time.Time) string {
+	beat := store.Heartbeat()
+	if beat.IsZero() {
+		return "unknown"
+	}
+	return now.Sub(beat).Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/router/order/once.go
@@ -0,0 +1,164 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cicadastand.dev/core/coord/claim"
+	"cicadastand.dev/core/proto/openai"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/ledger"
+)
+
+// callOnce runs a call that may not be repeated. It claims the key, and sends
+// only as the winner. Where another attempt holds the key it waits for that
+// attempt's outcome.
+func (c *Caller) callOnce(ctx context.Context, req *Request, call claim.Call) (Answer, error) {
+	for {
+		attempt, err := c.cfg.Claims.Begin(ctx, call)
+		if err == nil {
+			return c.sendWon(ctx, req, attempt)
+		}
+		var done *claim.ErrDone
+		if errors.As(err, &done) {
+			return recorded(done.Outcome), nil
+		}
+		if !claim.IsErrHeld(err) {
+			return Answer{}, refusal(req, err)
+		}
+		entry, err := c.cfg.Claims.Await(c.patience(ctx), call.ID)
+		switch {
+		case err == nil && entry.Phase == ledger.PhaseDone:
+			return recorded(*entry.Outcome), nil
+		case err != nil:
+			return c.settle(ctx, req, entry)
+		}
+	}
+}
+
+// patience bounds the wait for another attempt's outcome, so that time is left
+// to ask the service itself.
+func (c *Caller) patience(ctx context.Context) context.Context {
+	ctx, cancel := clock.WithTimeout(ctx, c.cfg.Clock, outcomeWait)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
+
+const (
+	// outcomeWait is how long a repeat waits for the outcome record.
+	outcomeWait = 1500 * time.Millisecond
+	// sendTimeout bounds a send, which goes on when its caller leaves.
+	sendTimeout = 30 * time.Second
+	// settleTimeout bounds a status call.
+	settleTimeout = 2 * time.Second
+)
+
+// sendWon sends the call as the winner of its key.
+func (c *Caller) sendWon(ctx context.Context, req *Request, attempt *claim.Attempt) (Answer, error) {
+	log := c.cfg.Logger.With("request", req.ID, "key", req.Key, "attempt", attempt.ID())
+	endpoint, ok := c.endpoint(attempt.Endpoint())
+	if !ok || ctx.Err() != nil {
+		return Answer{}, c.abandon(req, attempt, "the deadline has passed, or the endpoint is gone")
+	}
+	shot, err := dialOnce(ctx, endpoint.Address)
+	if err != nil {
+		c.cfg.Health.Failed(endpoint.Name, c.cfg.Clock.Now())
+		log.Info("endpoint can't be reached", "endpoint", endpoint.Name, "error", err)
+		return Answer{}, c.abandon(req, attempt, "the endpoint can't be reached")
+	}
+	defer shot.close()
+	if !attempt.MarkSending() {
+		return Answer{}, c.abandon(req, attempt, "the attempt was abandoned")
+	}
+	// The call goes on when its caller leaves: its outcome has to be recorded.
+	sending, cancel := clock.WithTimeout(context.WithoutCancel(ctx), c.cfg.Clock, sendTimeout)
+	defer cancel()
+	answer, err := shot.send(sending, req, endpoint, attempt.Fence())
+	if err != nil {
+		log.Warn("outcome is unknown", "endpoint", endpoint.Name, "error", err)
+		c.cfg.Health.Failed(endpoint.Name, c.cfg.Clock.Now())
+		entry := ledger.Entry{Attempt: attempt.ID(), Endpoint: endpoint.Name}
+		return c.settle(sending, req, entry)
+	}
+	c.cfg.Health.Succeeded(endpoint.Name)
+	attempt.Complete(outcome(answer))
+	return answer, nil
+}
+
+// abandon gives up an attempt that has sent nothing. The word not-run is true
+// of the key, since the attempt holds it and will never send.
+func (c *Caller) abandon(req *Request, attempt *claim.Attempt, reason string) error {
+	if _, ok := attempt.Abandon(); !ok {
+		return unknown(req, "the call may have been sent")
+	}
+	e := openai.NewError(http.StatusServiceUnavailable, openai.CodeUnavailable, "%s", reason)
+	e.RetryAfter = time.Second
+	return e
+}
+
+// settle asks the service what became of a call whose answer is not known.
+func (c *Caller) settle(ctx context.Context, req *Request, entry ledger.Entry) (Answer, error) {
+	endpoint, ok := c.endpoint(entry.Endpoint)
+	if !ok {
+		return Answer{}, unknown(req, "the endpoint that may have run the call is gone")
+	}
+	ctx, cancel := clock.WithTimeout(context.WithoutCancel(ctx), c.cfg.Clock, settleTimeout)
+	defer cancel()
+	var answer Answer
+	var err error
+	switch {
+	case endpoint.ChecksKeys:
+		// The endpoint runs each key once, so the same call again tells its outcome.
+		answer, err = c.sendRepeatable(ctx, req, endpoint)
+		answer.Source = SourceRecord
+	case req.Service.StatusPath != "":
+		answer, err = c.status(ctx, req, endpoint)
+	default:
+		return Answer{}, unknown(req, "the answer was lost")
+	}
+	if err != nil || answer.Status >= http.StatusBadRequest {
+		return Answer{}, unknown(req, "the answer was lost, and the service does not tell the outcome")
+	}
+	id := ledger.ID{Account: req.Account, Service: req.Service.Name, Key: req.Key}
+	c.cfg.Claims.Record(id, entry.Attempt, outcome(answer))
+	return answer, nil
+}
+
+func recorded(o ledger.Outcome) Answer {
+	return Answer{Status: o.Status, ContentType: o.ContentType, Body: o.Body, Source: SourceRecord}
+}
+
+func outcome(a Answer) ledger.Outcome {
+	o := ledger.Outcome{Status: a.Status, ContentType: a.ContentType}
+	if len(a.Body) <= maxRecordedBody {
+		o.Body = a.Body
+	}
+	return o
+}
+
+func unknown(_ *Request, reason string) error {
+	e := openai.NewError(http.StatusGatewayTimeout, openai.CodeOutcomeUnknown, "%s; repeat with the same key to learn the outcome", reason)
+	e.RunState = openai.OutcomeUnknown
+	return e
+}
+
+// refusal turns the reason why a claim did not win into the caller's error. An
+// undecided claim proves that this request was not sent; whether an earlier
+// request with the key was, only its caller knows.
+func refusal(req *Request, err error) error {
+	switch {
+	case claim.IsErrConflict(err):
+		return openai.NewError(http.StatusConflict, openai.CodeKeyConflict, "the key was used for another call")
+	case claim.IsErrExpired(err):
+		e := openai.NewError(http.StatusGone, openai.CodeKeyExpired, "the key was created too long ago, or in the future")
+		e.RunState = openai.OutcomeUnknown
+		return e
+	default:
+		e := openai.NewError(http.StatusServiceUnavailable, openai.CodeUnavailable, "%v", err)
+		e.RunState = req.RefusedState()
+		e.RetryAfter = time.Second
+		return e
+	}
+}
--- /dev/null
+++ b/router/peer/answer.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/netip"
+
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/coord/limit"
+	"cicadastand.dev/core/coord/member"
+	"cicadastand.dev/core/coord/route"
+	"cicadastand.dev/core/proto/peerpb"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/usage"
+)
+
+// Exchange answers a peer's digest with this host's own.
+func (s *Service) Exchange(_ context.Context, d *peerpb.Digest) (*peerpb.Digest, error) {
+	s.take(d)
+	return s.digest(), nil
+}
+
+// Pull answers with the configuration that the caller lacks.
+func (s *Service) Pull(_ context.Context, req *peerpb.PullRequest) (*peerpb.PullReply, error) {
+	records, ok := s.cfg.Store.Since(req.GetOffset())
+	if ok {
+		return &peerpb.PullReply{Records: lo.Map(records, toLogRecord)}, nil
+	}
+	data, err := s.cfg.Store.Snapshot().Encode()
+	if err != nil {
+		return nil, fmt.Errorf("answer pull: %w", err)
+	}
+	return &peerpb.PullReply{Snapshot: data}, nil
+}
+
+// Demand answers a peer's demand on accounts that this host splits.
+func (s *Service) Demand(_ context.Context, req *peerpb.DemandRequest) (*peerpb.DemandReply, error) {
+	reply := &peerpb.DemandReply{}
+	for _, d := range req.GetDemands() {
+		share, ok := s.split(req.GetHost(), d.GetAccount(), d.GetRequests())
+		if ok {
+			reply.Shares = append(reply.Shares, &peerpb.AccountShare{Account: d.GetAccount(), Share: share})
+		}
+	}
+	return reply, nil
+}
+
+// Usage answers with what this host's callers received.
+func (s *Service) Usage(_ context.Context, req *peerpb.UsageRequest) (*peerpb.UsageReply, error) {
+	data, err := s.cfg.Usage.Report(s.cfg.Self.Name, req.GetAccount()).Encode()
+	if err != nil {
+		return nil, fmt.Errorf("answer usage: %w", err)
+	}
+	return &peerpb.UsageReply{Report: data}, nil
+}
+
+func (s *Service) split(host, account string, demand float64) (float64, bool) {
+	contract, ok := s.cfg.Store.View().Contract(account)
+	if !ok || math.IsNaN(demand) || demand < 0 {
+		return 0, false
+	}
+	return s.cfg.Keeper.Report(host, account, demand, contract.Limits.RequestsPerSecond, s.cfg.Clock.Now()), true
+}
+
+// demand reports the use of each active account to the host that splits its
+// limits, and takes the shares that come back.
+func (s *Service) demand(ctx context.Context) {
+	now := s.cfg.Clock.Now()
+	s.cfg.Keeper.Forget(now)
+	uses := s.cfg.Limits.TakeUses(demandEvery, now)
+	hosts := s.cfg.Members.Find(member.FindOptions{States: []member.State{member.Live}})
+	if len(uses) == 0 || len(hosts) == 0 {
+		return
+	}
+	byKeeper := lo.GroupBy(uses, func(u limit.Use) string { return keeperOf(u.Account, hosts).Name })
+	for _, h := range hosts {
+		mine := byKeeper[h.Name]
+		if len(mine) == 0 {
+			continue
+		}
+		if h.Name == s.cfg.Self.Name {
+			s.splitOwn(mine)
+			continue
+		}
+		if err := s.askShares(ctx, h.Address, mine); err != nil {
+			s.cfg.Logger.Debug("shares not renewed", "keeper", h.Name, "error", err)
+		}
+	}
+}
+
+func (s *Service) splitOwn(uses []limit.Use) {
+	until := s.cfg.Clock.Now().Add(s.cfg.Keeper.Lease())
+	for _, u := range uses {
+		if share, ok := s.split(s.cfg.Self.Name, u.Account, u.Requests); ok {
+			s.cfg.Limits.Grant(u.Account, share, until)
+		}
+	}
+}
+
+func (s *Service) askShares(ctx context.Context, address netip.AddrPort, uses []limit.Use) error {
+	ctx, cancel := clock.WithTimeout(ctx, s.cfg.Clock, callTimeout)
+	defer cancel()
+	client, err := s.client(address)
+	if err != nil {
+		return err
+	}
+	req := &peerpb.DemandRequest{Host: s.cfg.Self.Name}
+	for _, u := range uses {
+		req.Demands = append(req.Demands, &peerpb.AccountDemand{Account: u.Account, Requests: u.Requests})
+	}
+	asked := s.cfg.Clock.Now()
+	reply, err := client.Demand(ctx, req)
+	if err != nil {
+		return fmt.Errorf("ask for shares: %w", err)
+	}
+	for _, share := range reply.GetShares() {
+		s.cfg.Limits.Grant(share.GetAccount(), share.GetShare(), asked.Add(s.cfg.Keeper.Lease()))
+	}
+	return nil
+}
+
+// keeperOf returns the host that splits an account's limits.
+func keeperOf(account string, hosts []member.Host) member.Host {
+	key := route.NameKey(account)
+	return lo.MaxBy(hosts, func(a, b member.Host) bool { return route.Score(key, a.Name) > route.Score(key, b.Name) })
+}
+
+// Usages collects the reports of all hosts. It returns the names of those that
+// did not answer.
+func (s *Service) Usages(ctx context.Context, account string) ([]usage.Report, []string) {
+	reports := []usage.Report{s.cfg.Usage.Report(s.cfg.Self.Name, account)}
+	var missing []string
+	for _, h := range s.cfg.Members.Find(member.FindOptions{WithoutSelf: true, States: []member.State{member.Live, member.Leaving}}) {
+		r, err := s.usageOf(ctx, h.Address, account)
+		if err != nil {
+			missing = append(missing, h.Name)
+			continue
+		}
+		reports = append(reports, r)
+	}
+	return reports, missing
+}
+
+func (s *Service) usageOf(ctx context.Context, address netip.AddrPort, account string) (usage.Report, error) {
+	ctx, cancel := clock.WithTimeout(ctx, s.cfg.Clock, callTimeout)
+	defer cancel()
+	client, err := s.client(address)
+	if err != nil {
+		return usage.Report{}, err
+	}
+	reply, err := client.Usage(ctx, &peerpb.UsageRequest{Account: account})
+	if err != nil {
+		return usage.Report{}, fmt.Errorf("ask for usage: %w", err)
+	}
+	return usage.Decode(reply.GetReport())
+}
--- /dev/null
+++ b/router/peer/digest.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/samber/lo"
+	"google.golang.org/grpc/backoff"
+
+	"google.golang.org/grpc"
+
+	"cicadastand.dev/core/coord/health"
+	"cicadastand.dev/core/coord/member"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/proto/peerpb"
+	"cicadastand.dev/core/state/stream"
+)
+
+// connectParams makes a peer that comes back reachable again soon.
+func connectParams() grpc.ConnectParams {
+	return grpc.ConnectParams{
+		Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: time.Second},
+		MinConnectTimeout: callTimeout,
+	}
+}
+
+// digest returns what this host tells a peer.
+func (s *Service) digest() *peerpb.Digest {
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	known := s.cfg.Members.Find(member.FindOptions{WithoutSelf: true, States: []member.State{member.Live, member.Leaving}})
+	return &peerpb.Digest{
+		From:         hostMessage(s.cfg.Self),
+		Leaving:      leaving,
+		ConfigOffset: s.cfg.Store.Offset(),
+		Hosts:        lo.Map(lo.Slice(known, 0, maxDigestHosts), func(h member.Host, _ int) *peerpb.Host { return hostMessage(h) }),
+		Suspects:     lo.Map(s.cfg.Poison.Suspects(maxSuspects, now), suspectMessage),
+		Endpoints:    s.endpointNews(),
+	}
+}
+
+// endpointNews names the endpoints that said that they are leaving.
+func (s *Service) endpointNews() []*peerpb.EndpointNews {
+	var out []*peerpb.EndpointNews
+	for name, st := range s.cfg.Health.All() {
+		if st.State == health.Leaving && st.Report.Leaving && len(out) < maxEndpointNews {
+			out = append(out, &peerpb.EndpointNews{Name: name, Incarnation: st.Report.Incarnation, Leaving: true})
+		}
+	}
+	return out
+}
+
+// take learns from a peer's digest.
+func (s *Service) take(d *peerpb.Digest) {
+	now := s.cfg.Clock.Now()
+	from, ok := hostFrom(d.GetFrom())
+	if !ok || from.Name == s.cfg.Self.Name {
+		return
+	}
+	s.cfg.Members.Heard(from, d.GetLeaving(), now)
+	s.cfg.Members.Learn(lo.FilterMap(d.GetHosts(), func(h *peerpb.Host, _ int) (member.Host, bool) { return hostFrom(h) }), now)
+	s.cfg.Poison.Merge(lo.Map(d.GetSuspects(), suspectFrom), now)
+	for _, e := range d.GetEndpoints() {
+		st := s.cfg.Health.Get(e.GetName())
+		if e.GetLeaving() && (st.Report.Incarnation == "" || st.Report.Incarnation == e.GetIncarnation()) {
+			s.cfg.Health.MarkLeaving(e.GetName(), true)
+		}
+	}
+}
+
+func hostMessage(h member.Host) *peerpb.Host {
+	return &peerpb.Host{Name: h.Name, FailureDomain: h.FailureDomain, Address: h.Address.String()}
+}
+
+func hostFrom(h *peerpb.Host) (member.Host, bool) {
+	address, err := netip.ParseAddrPort(h.GetAddress())
+	if err != nil || h.GetName() == "" {
+		return member.Host{}, false
+	}
+	return member.Host{Name: h.GetName(), FailureDomain: h.GetFailureDomain(), Address: address}, true
+}
+
+func suspectMessage(s poison.Suspect, _ int) *peerpb.Suspect {
+	return &peerpb.Suspect{Fingerprint: s.Fingerprint[:], Crashes: uint32(s.Crashes), LastUnixMs: s.Last.UnixMilli()}
+}
+
+func suspectFrom(s *peerpb.Suspect, _ int) poison.Suspect {
+	out := poison.Suspect{Crashes: int(s.GetCrashes()), Last: time.UnixMilli(s.GetLastUnixMs())}
+	copy(out.Fingerprint[:], s.GetFingerprint())
+	return out
+}
+
+func toLogRecord(r stream.Record, _ int) *peerpb.LogRecord {
+	return &peerpb.LogRecord{Offset: r.Offset, TimeUnixUs: r.Time.UnixMicro(), Data: r.Data}
+}
+
+func fromLogRecords(records []*peerpb.LogRecord) []stream.Record {
+	return lo.Map(records, func(r *peerpb.LogRecord, _ int) stream.Record {
+		return stream.Record{Offset: r.GetOffset(), Time: time.UnixMicro(r.GetTimeUnixUs()).UTC(), Data: r.GetData()}
+	})
+}
--- /dev/null
+++ b/router/peer/peer.go
@@ -0,0 +1,260 @@
+// Package peer is the contact between the hosts of the system: heartbeats with a
+// bounded digest, configuration passed on, and the splitting of limits.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"cicadastand.dev/core/coord/follow"
+	"cicadastand.dev/core/coord/health"
+	"cicadastand.dev/core/coord/limit"
+	"cicadastand.dev/core/coord/member"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/proto/peerpb"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/usage"
+)
+
+// Config says what a Service works with.
+type Config struct {
+	Clock   clock.Service
+	Self    member.Host
+	Members *member.Table
+	Store   *follow.Store
+	Health  *health.Table
+	Poison  *poison.Table
+	Limits  *limit.Local
+	Keeper  *limit.Keeper
+	Usage   *usage.Book
+	// Seeds are peers to contact before any is known.
+	Seeds []netip.AddrPort
+	// Interval is the time between exchanges, Fanout the number of peers each time.
+	Interval time.Duration
+	Fanout   int
+	// ServerCreds and ClientCreds secure the contact.
+	ServerCreds credentials.TransportCredentials
+	ClientCreds credentials.TransportCredentials
+	Logger      hclog.Logger
+	Metrics     *metrics.Set
+}
+
+const (
+	callTimeout     = time.Second
+	demandEvery     = time.Second
+	maxDigestHosts  = 32
+	maxSuspects     = 64
+	maxEndpointNews = 64
+	maxMessageBytes = 64 << 20
+)
+
+// Service talks to the other hosts and answers them.
+//
+// Lock order: Service.mu is a leaf.
+type Service struct {
+	peerpb.UnimplementedPeerServer
+	cfg      Config
+	server   *grpc.Server
+	listener net.Listener
+	rng      *rand.Rand
+
+	mu      sync.Mutex
+	conns   map[netip.AddrPort]*grpc.ClientConn
+	leaving bool
+
+	exchanges *metrics.Counter
+	failures  *metrics.Counter
+	pulls     *metrics.Counter
+}
+
+// New returns a service that has not started.
+func New(cfg Config) *Service {
+	return &Service{
+		cfg:       cfg,
+		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		conns:     make(map[netip.AddrPort]*grpc.ClientConn),
+		exchanges: cfg.Metrics.NewCounter("cicada_peer_exchanges_total"),
+		failures:  cfg.Metrics.NewCounter("cicada_peer_failures_total"),
+		pulls:     cfg.Metrics.NewCounter("cicada_peer_pulls_total"),
+	}
+}
+
+// Listen opens the listener and answers peers.
+func (s *Service) Listen(ctx context.Context) error {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", s.cfg.Self.Address.String())
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	s.listener = listener
+	s.server = grpc.NewServer(grpc.Creds(s.cfg.ServerCreds), grpc.MaxRecvMsgSize(maxMessageBytes))
+	peerpb.RegisterPeerServer(s.server, s)
+	go s.run()
+	return nil
+}
+
+func (s *Service) run() {
+	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+		s.cfg.Logger.Error("server ended", "error", err)
+	}
+}
+
+// Close ends the server and all connections.
+func (s *Service) Close() {
+	s.server.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// Run exchanges digests and demands until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	tick := s.cfg.Clock.Subscribe(s.cfg.Interval)
+	defer tick.Stop()
+	demand := s.cfg.Clock.Subscribe(demandEvery)
+	defer demand.Stop()
+	s.Round(ctx)
+	for {
+		select {
+		case <-tick.C():
+			s.Round(ctx)
+		case <-demand.C():
+			s.demand(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Round exchanges digests with a few peers, at the same time.
+func (s *Service) Round(ctx context.Context) {
+	s.exchangeWith(ctx, s.pick())
+	for _, h := range s.cfg.Members.Review(s.cfg.Clock.Now()) {
+		s.cfg.Logger.Info("host changed", "host", h.Name, "state", h.State)
+	}
+	s.cfg.Limits.SetFallback(1 / float64(max(1, s.cfg.Members.Contracted())))
+}
+
+// Leave tells all peers that this host stops.
+func (s *Service) Leave(ctx context.Context) {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.exchangeWith(ctx, s.addresses())
+}
+
+// Suspect tells the peers of a suspect without delay.
+func (s *Service) Suspect(ctx context.Context, _ poison.Suspect) { s.exchangeWith(ctx, s.addresses()) }
+
+// exchangeWith swaps digests with peers and waits for all of them.
+func (s *Service) exchangeWith(ctx context.Context, peers []netip.AddrPort) {
+	var done sync.WaitGroup
+	for _, address := range peers {
+		done.Add(1)
+		c := &contact{s: s, address: address, done: &done}
+		go c.run(ctx)
+	}
+	done.Wait()
+}
+
+// contact is one exchange with one peer.
+type contact struct {
+	s       *Service
+	address netip.AddrPort
+	done    *sync.WaitGroup
+}
+
+func (c *contact) run(ctx context.Context) {
+	defer c.done.Done()
+	ctx, cancel := clock.WithTimeout(ctx, c.s.cfg.Clock, callTimeout)
+	defer cancel()
+	c.s.exchanges.Inc()
+	if err := c.s.exchange(ctx, c.address); err != nil {
+		c.s.failures.Inc()
+		c.s.cfg.Logger.Debug("peer does not answer", "address", c.address, "error", err)
+	}
+}
+
+func (s *Service) exchange(ctx context.Context, address netip.AddrPort) error {
+	client, err := s.client(address)
+	if err != nil {
+		return err
+	}
+	reply, err := client.Exchange(ctx, s.digest())
+	if err != nil {
+		return fmt.Errorf("exchange: %w", err)
+	}
+	s.take(reply)
+	if reply.GetConfigOffset() > s.cfg.Store.Offset() {
+		return s.pull(ctx, client)
+	}
+	return nil
+}
+
+// pull takes configuration that this host lacks from a peer.
+func (s *Service) pull(ctx context.Context, client peerpb.PeerClient) error {
+	s.pulls.Inc()
+	reply, err := client.Pull(ctx, &peerpb.PullRequest{Offset: s.cfg.Store.Offset()})
+	if err != nil {
+		return fmt.Errorf("pull configuration: %w", err)
+	}
+	if len(reply.GetSnapshot()) > 0 {
+		snap, err := conf.DecodeSnapshot(reply.GetSnapshot())
+		if err != nil {
+			return err
+		}
+		return s.cfg.Store.Restore(snap, "peer")
+	}
+	s.cfg.Store.ApplyPeer(fromLogRecords(reply.GetRecords()))
+	return nil
+}
+
+// client returns a client for a peer's address.
+func (s *Service) client(address netip.AddrPort) (peerpb.PeerClient, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conn, ok := s.conns[address]
+	if !ok {
+		var err error
+		conn, err = grpc.NewClient("passthrough:///"+address.String(),
+			grpc.WithTransportCredentials(s.cfg.ClientCreds),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+			grpc.WithConnectParams(connectParams()))
+		if err != nil {
+			return nil, fmt.Errorf("connect to %s: %w", address, err)
+		}
+		s.conns[address] = conn
+	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// pick returns the peers of the next exchange: a few at random, and the seeds
+// while no peer is known.
+func (s *Service) pick() []netip.AddrPort {
+	all := s.addresses()
+	s.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), s.cfg.Fanout)]
+}
+
+// addresses returns where all peers listen that may be alive, and the seeds.
+func (s *Service) addresses() []netip.AddrPort {
+	hosts := s.cfg.Members.Find(member.FindOptions{WithoutSelf: true, States: []member.State{member.Live, member.Silent, member.Leaving}})
+	out := lo.Map(hosts, func(h member.Host, _ int) netip.AddrPort { return h.Address })
+	out = append(out, s.cfg.Seeds...)
+	return lo.Uniq(lo.Filter(out, func(a netip.AddrPort, _ int) bool { return a.IsValid() && a != s.cfg.Self.Address }))
+}
--- /dev/null
+++ b/router/prefs/prefs.go
@@ -0,0 +1,269 @@
+// Package prefs holds the settings of a router process.
+package prefs
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/coord/route"
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/trans/setup"
+)
+
+// Settings are the settings of a router process.
+type Settings struct {
+	Host      Host      `yaml:"host"`
+	Callers   Callers   `yaml:"callers"`
+	Operators Operators `yaml:"operators"`
+	Peers     Peers     `yaml:"peers"`
+	Platform  Platform  `yaml:"platform"`
+	Routing   Routing   `yaml:"routing"`
+	Admission Admission `yaml:"admission"`
+	Stop      Stop      `yaml:"stop"`
+	Log       Log       `yaml:"log"`
+	// Snapshot is a file with a configuration snapshot, used while nothing newer is known.
+	Snapshot string `yaml:"snapshot"`
+}
+
+// Host says which host this is.
+type Host struct {
+	Name          string `yaml:"name"`
+	FailureDomain string `yaml:"failure-domain"`
+}
+
+// TLS names the files of a key pair. With an authority, the other side must
+// show a certificate that it signed.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
+}
+
+// Enabled reports whether TLS is used.
+func (t TLS) Enabled() bool { return t.Certificate != "" || t.Key != "" || t.Authority != "" }
+
+// Callers sets up the interface for callers.
+type Callers struct {
+	Address netip.AddrPort `yaml:"address"`
+	TLS     TLS            `yaml:"tls"`
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64 `yaml:"max-body-bytes"`
+	// ReadTimeout bounds the reading of a request.
+	ReadTimeout time.Duration `yaml:"read-timeout"`
+	// WriteTimeout bounds each write to a slow reader.
+	WriteTimeout time.Duration `yaml:"write-timeout"`
+	// IdleTimeout bounds the life of an idle connection.
+	IdleTimeout time.Duration `yaml:"idle-timeout"`
+}
+
+// Operators sets up the interface for operators.
+type Operators struct {
+	Address netip.AddrPort `yaml:"address"`
+	TLS     TLS            `yaml:"tls"`
+	// Keys are those that operators show.
+	Keys []OperatorKey `yaml:"keys"`
+}
+
+// OperatorKey is one operator's key.
+type OperatorKey struct {
+	// Name stands as author in the history.
+	Name string `yaml:"name"`
+	// Hash is the hex SHA-256 digest of the key.
+	Hash string `yaml:"hash"`
+}
+
+func (k OperatorKey) valid() bool {
+	raw, err := hex.DecodeString(k.Hash)
+	return err == nil && len(raw) == sha256.Size && fleet.ValidName(k.Name)
+}
+
+// Peers sets up the contact with the other hosts of the system.
+type Peers struct {
+	Address netip.AddrPort `yaml:"address"`
+	TLS     TLS            `yaml:"tls"`
+	// Seeds are peers to contact while the platform's list is not known.
+	Seeds []netip.AddrPort `yaml:"seeds"`
+	// Interval is the time between exchanges.
+	Interval time.Duration `yaml:"interval"`
+	// Fanout is the number of peers contacted each interval.
+	Fanout int `yaml:"fanout"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	Address netip.AddrPort `yaml:"address"`
+	Timeout time.Duration  `yaml:"timeout"`
+	// ListInterval is the time between reads of the list of hosts.
+	ListInterval time.Duration `yaml:"list-interval"`
+}
+
+// Routing sets up the choice of endpoints.
+type Routing struct {
+	Policy string `yaml:"policy"`
+	// ProbeInterval is the time between load reports of an endpoint.
+	ProbeInterval time.Duration `yaml:"probe-interval"`
+	// StallTimeout is how long an engine may make no progress on a stream.
+	StallTimeout time.Duration `yaml:"stall-timeout"`
+	// CacheEvents makes the host read the engines' cache events.
+	CacheEvents bool `yaml:"cache-events"`
+	// MaxKeys bounds the cached pieces that the host remembers.
+	MaxKeys int `yaml:"max-keys"`
+}
+
+// Admission sets up the queue before the engines.
+type Admission struct {
+	// MaxQueue bounds the waiting requests of each rank.
+	MaxQueue int `yaml:"max-queue"`
+	// UrgentReserve is the share of the slots that only urgent work may use.
+	UrgentReserve float64 `yaml:"urgent-reserve"`
+	// Overcommit is the factor of the engines' slots up to which requests are sent.
+	Overcommit float64 `yaml:"overcommit"`
+}
+
+// Stop sets up the graceful stop.
+type Stop struct {
+	// Notice is the time between the announcement of the stop and the closing of
+	// the listeners, in which the balancer and callers move on.
+	Notice time.Duration `yaml:"notice"`
+	// Grace bounds the wait for requests in progress.
+	Grace time.Duration `yaml:"grace"`
+}
+
+// Log sets up the log of the process.
+type Log struct {
+	Level string `yaml:"level"`
+	JSON  bool   `yaml:"json"`
+}
+
+// Defaults returns the settings used for keys that a file leaves out.
+func Defaults() Settings {
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	return Settings{
+		Callers: Callers{
+			Address:      netip.AddrPortFrom(loopback, 7100),
+			MaxBodyBytes: 4 << 20,
+			ReadTimeout:  30 * time.Second,
+			WriteTimeout: 10 * time.Second,
+			IdleTimeout:  90 * time.Second,
+		},
+		Operators: Operators{Address: netip.AddrPortFrom(loopback, 7200)},
+		Peers: Peers{
+			Address:  netip.AddrPortFrom(loopback, 7300),
+			Interval: 500 * time.Millisecond,
+			Fanout:   3,
+		},
+		Platform:  Platform{Timeout: 2 * time.Second, ListInterval: time.Second},
+		Routing:   Routing{Policy: route.NameExpect, ProbeInterval: 250 * time.Millisecond, StallTimeout: 3 * time.Second, MaxKeys: 50_000},
+		Admission: Admission{MaxQueue: 1000, UrgentReserve: 0.1, Overcommit: 1},
+		Stop:      Stop{Notice: time.Second, Grace: 2 * time.Minute},
+		Log:       Log{Level: "info"},
+	}
+}
+
+// Load reads the settings from a file.
+func Load(path string) (Settings, error) {
+	s := Defaults()
+	if err := setup.Load(path, &s); err != nil {
+		return Settings{}, fmt.Errorf("load settings: %w", err)
+	}
+	return s, nil
+}
+
+// ErrField reports a setting that is out of range.
+type ErrField struct {
+	Field  string
+	Reason string
+}
+
+// Error names the field.
+func (e *ErrField) Error() string { return e.Field + ": " + e.Reason }
+
+// Validate checks the settings. It returns the first fault.
+func (s *Settings) Validate() error {
+	for _, c := range s.checks() {
+		if !c.ok {
+			return &ErrField{Field: c.field, Reason: c.reason}
+		}
+	}
+	if err := s.validateTLS(); err != nil {
+		return err
+	}
+	if s.Snapshot != "" {
+		if _, err := os.Stat(s.Snapshot); err != nil {
+			return &ErrField{Field: "snapshot", Reason: err.Error()}
+		}
+	}
+	return nil
+}
+
+type check struct {
+	ok     bool
+	field  string
+	reason string
+}
+
+func (s *Settings) checks() []check {
+	const name = "must be 1 to 64 of a-z, 0-9, dot, dash and underscore"
+	const address = "must be an IP address and port"
+	const positive = "must be above 0"
+	return []check{
+		{fleet.ValidName(s.Host.Name), "host.name", name},
+		{fleet.ValidName(s.Host.FailureDomain), "host.failure-domain", name},
+		{s.Callers.Address.IsValid(), "callers.address", address},
+		{s.Callers.MaxBodyBytes > 0, "callers.max-body-bytes", positive},
+		{s.Callers.ReadTimeout > 0, "callers.read-timeout", positive},
+		{s.Callers.WriteTimeout > 0, "callers.write-timeout", positive},
+		{s.Callers.IdleTimeout > 0, "callers.idle-timeout", positive},
+		{s.Operators.Address.IsValid(), "operators.address", address},
+		{len(s.Operators.Keys) > 0, "operators.keys", "must hold at least one key"},
+		{lo.EveryBy(s.Operators.Keys, OperatorKey.valid), "operators.keys", "each must have a name and the 64 hex digits of a digest"},
+		{s.Peers.Address.IsValid(), "peers.address", address},
+		{s.Peers.Interval > 0, "peers.interval", positive},
+		{s.Peers.Fanout > 0, "peers.fanout", positive},
+		{s.Platform.Address.IsValid(), "platform.address", address},
+		{s.Platform.Timeout > 0, "platform.timeout", positive},
+		{s.Platform.ListInterval > 0, "platform.list-interval", positive},
+		{slices.Contains(route.Names(), s.Routing.Policy), "routing.policy", fmt.Sprintf("must be one of %v", route.Names())},
+		{s.Routing.ProbeInterval > 0, "routing.probe-interval", positive},
+		{s.Routing.StallTimeout > 0, "routing.stall-timeout", positive},
+		{s.Routing.MaxKeys > 0, "routing.max-keys", positive},
+		{s.Admission.MaxQueue > 0, "admission.max-queue", positive},
+		{s.Admission.UrgentReserve >= 0 && s.Admission.UrgentReserve < 1, "admission.urgent-reserve", "must be at least 0 and below 1"},
+		{s.Admission.Overcommit > 0 && s.Admission.Overcommit <= 16, "admission.overcommit", "must be above 0 and at most 16"},
+		{s.Stop.Notice >= 0, "stop.notice", "must not be negative"},
+		{s.Stop.Grace > 0, "stop.grace", positive},
+		{hclog.LevelFromString(s.Log.Level) != hclog.NoLevel, "log.level", "must be trace, debug, info, warn or error"},
+	}
+}
+
+func (s *Settings) validateTLS() error {
+	sections := []struct {
+		field string
+		tls   TLS
+	}{{"callers.tls", s.Callers.TLS}, {"operators.tls", s.Operators.TLS}, {"peers.tls", s.Peers.TLS}}
+	for _, sec := range sections {
+		if !sec.tls.Enabled() {
+			continue
+		}
+		if sec.tls.Certificate == "" || sec.tls.Key == "" {
+			return &ErrField{Field: sec.field, Reason: "certificate and key must both be given"}
+		}
+		for _, path := range []string{sec.tls.Certificate, sec.tls.Key, sec.tls.Authority} {
+			if path == "" {
+				continue
+			}
+			if _, err := os.Stat(path); err != nil {
+				return &ErrField{Field: sec.field, Reason: err.Error()}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/router/probe/probe.go
@@ -0,0 +1,265 @@
+// Package probe reads the endpoints' reports: load, weights, incarnation and cache events.
+package probe
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/coord/health"
+	"cicadastand.dev/core/proto/engine"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/index"
+	"cicadastand.dev/core/state/prefix"
+)
+
+// Views gives the configuration in force.
+type Views interface {
+	View() *conf.View
+}
+
+// Config says what a Prober works with.
+type Config struct {
+	Clock  clock.Service
+	Views  Views
+	Health *health.Table
+	Index  *index.Index
+	// Interval is the time between the reports of one endpoint.
+	Interval time.Duration
+	// CacheEvents makes the prober read the engines' cache events.
+	CacheEvents bool
+	Logger      hclog.Logger
+}
+
+const (
+	workers        = 16
+	probeTimeout   = time.Second
+	maxReportBytes = 8 << 20
+	reviewEvery    = 500 * time.Millisecond
+)
+
+// Prober reads reports. It is safe for concurrent use.
+//
+// Lock order: Prober.mu is a leaf.
+type Prober struct {
+	cfg    Config
+	http   *http.Client
+	jobs   chan fleet.Endpoint
+	mu     sync.Mutex
+	busy   map[string]bool
+	events map[string]cursor
+}
+
+// cursor is how far the cache events of an engine were read.
+type cursor struct {
+	incarnation string
+	sequence    uint64
+}
+
+// New returns a prober.
+func New(cfg Config) *Prober {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2}
+	return &Prober{
+		cfg:    cfg,
+		http:   &http.Client{Transport: transport},
+		jobs:   make(chan fleet.Endpoint),
+		busy:   make(map[string]bool),
+		events: make(map[string]cursor),
+	}
+}
+
+// Close drops idle connections.
+func (p *Prober) Close() { p.http.CloseIdleConnections() }
+
+// Run reads the reports of all endpoints until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	var done sync.WaitGroup
+	for range workers {
+		done.Add(1)
+		go p.loop(ctx, &done)
+	}
+	tick := p.cfg.Clock.Subscribe(p.cfg.Interval)
+	defer tick.Stop()
+	review := p.cfg.Clock.Subscribe(reviewEvery)
+	defer review.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-tick.C():
+			p.round(ctx)
+		case <-review.C():
+			p.review()
+		case <-ctx.Done():
+		}
+	}
+	close(p.jobs)
+	done.Wait()
+}
+
+// loop is one worker.
+func (p *Prober) loop(ctx context.Context, done *sync.WaitGroup) {
+	defer done.Done()
+	for e := range p.jobs {
+		p.check(ctx, e)
+		p.release(e.Name)
+	}
+}
+
+func (p *Prober) round(ctx context.Context) {
+	for _, e := range p.cfg.Views.View().Fleet.Endpoints {
+		if !p.claim(e.Name) {
+			continue
+		}
+		select {
+		case p.jobs <- e:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Prober) claim(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[name] {
+		return false
+	}
+	p.busy[name] = true
+	return true
+}
+
+func (p *Prober) release(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, name)
+}
+
+func (p *Prober) review() {
+	known := make(map[string]bool)
+	for _, e := range p.cfg.Views.View().Fleet.Endpoints {
+		known[e.Name] = true
+	}
+	p.cfg.Health.Retain(known)
+	for _, name := range p.cfg.Health.Review(p.cfg.Clock.Now()) {
+		p.cfg.Logger.Warn("endpoint ejected", "endpoint", name)
+	}
+}
+
+func (p *Prober) check(ctx context.Context, e fleet.Endpoint) {
+	ctx, cancel := clock.WithTimeout(ctx, p.cfg.Clock, probeTimeout)
+	defer cancel()
+	var err error
+	if e.Kind == fleet.KindService {
+		err = p.dial(ctx, e)
+	} else {
+		_, err = p.Probe(ctx, e)
+		if err == nil && p.cfg.CacheEvents {
+			p.readEvents(ctx, e)
+		}
+	}
+	if err != nil && ctx.Err() != context.Canceled {
+		p.cfg.Health.Failed(e.Name, p.cfg.Clock.Now())
+	}
+}
+
+// dial finds out whether a plain service accepts connections.
+func (p *Prober) dial(ctx context.Context, e fleet.Endpoint) error {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", e.Address.String())
+	if err != nil {
+		return fmt.Errorf("dial %s: %w", e.Name, err)
+	}
+	p.cfg.Health.Succeeded(e.Name)
+	return conn.Close()
+}
+
+// Probe reads an engine's report now and returns its incarnation.
+func (p *Prober) Probe(ctx context.Context, e fleet.Endpoint) (string, error) {
+	var load engine.Load
+	if err := p.get(ctx, e, "/v1/load", &load); err != nil {
+		return "", err
+	}
+	rep := health.Report{
+		Incarnation:  load.Incarnation,
+		Weights:      load.Weights,
+		Adapters:     load.Adapters,
+		Role:         load.Role,
+		Running:      load.Running,
+		Queued:       load.Queued,
+		QueuedTokens: load.QueuedTokens,
+		Leaving:      load.Leaving,
+		Loading:      load.Loading,
+		LastEvent:    load.LastEvent,
+	}
+	if p.cfg.Health.Reported(e.Name, rep, p.cfg.Clock.Now()) {
+		p.cfg.Logger.Info("endpoint has a new incarnation", "endpoint", e.Name, "incarnation", load.Incarnation)
+	}
+	p.cfg.Index.SetIncarnation(e.Name, load.Incarnation)
+	return load.Incarnation, nil
+}
+
+// readEvents takes the cache events that concern keys this host knows.
+func (p *Prober) readEvents(ctx context.Context, e fleet.Endpoint) {
+	p.mu.Lock()
+	at := p.events[e.Name]
+	p.mu.Unlock()
+	var body engine.EventsBody
+	if err := p.get(ctx, e, "/v1/cache-events?from="+strconv.FormatUint(at.sequence, 10), &body); err != nil {
+		return
+	}
+	if body.Incarnation != at.incarnation {
+		at = cursor{incarnation: body.Incarnation}
+	}
+	now := p.cfg.Clock.Now()
+	for _, ev := range body.Events {
+		at.sequence = max(at.sequence, ev.Sequence)
+		p.take(e.Name, ev, now)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events[e.Name] = at
+}
+
+func (p *Prober) take(endpoint string, ev engine.CacheEvent, now time.Time) {
+	key, err := prefix.ParseKey(ev.Key)
+	if err != nil || !p.cfg.Index.Knows(key) {
+		return
+	}
+	if ev.Kind == engine.EventEvicted {
+		p.cfg.Index.Evict(endpoint, ev.Incarnation, key)
+		return
+	}
+	p.cfg.Index.Confirm(endpoint, ev.Incarnation, []prefix.Key{key}, now)
+}
+
+func (p *Prober) get(ctx context.Context, e fleet.Endpoint, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address.String()+path, nil)
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	resp, err := p.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("probe %s: %w", e.Name, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return fmt.Errorf("read report of %s: %w", e.Name, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %d", e.Name, resp.StatusCode)
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("decode report of %s: %w", e.Name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/router/send/attempt.go
@@ -0,0 +1,221 @@
+package send
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"cicadastand.dev/core/proto/engine"
+	"cicadastand.dev/core/proto/openai"
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/prefix"
+)
+
+const (
+	maxEventBytes = 1 << 20
+	maxErrorBytes = 64 << 10
+)
+
+// send runs the job on one endpoint, from the event after the sink's last on.
+func (d *Dispatcher) send(ctx context.Context, r *run, e fleet.Endpoint) error {
+	r.result.Sends++
+	r.result.Endpoint = e.Name
+	d.sends.Inc()
+	start := d.cfg.Clock.Now()
+	d.cfg.Health.Sent(e.Name, r.job.tokens)
+	a := &attempt{d: d, r: r, e: e, queued: true}
+	defer func() {
+		a.dequeue()
+		d.cfg.Health.Finished(e.Name, d.cfg.Clock.Now().Sub(start))
+		d.cfg.Poison.Leave(e.Name, r.job.fingerprint)
+	}()
+	ctx, guard := newGuard(ctx, d.cfg.Clock, d.cfg.StallTimeout, d.prefillTime(e))
+	defer guard.stop()
+	a.guard = guard
+	err := a.do(ctx)
+	if err == nil {
+		return nil
+	}
+	if guard.fired() {
+		return a.fail(faultStalled, err)
+	}
+	return err
+}
+
+// prefillFactor allows for an engine that computes prompts slower than it should.
+const prefillFactor = 4
+
+// prefillTime is how long the prompts that wait at an endpoint may take.
+func (d *Dispatcher) prefillTime(e fleet.Endpoint) time.Duration {
+	tokens := d.cfg.Health.Get(e.Name).QueuedTokens()
+	return time.Duration(prefillFactor * float64(tokens) / e.PrefillRate * float64(time.Second))
+}
+
+// attempt is one send of a job.
+type attempt struct {
+	d      *Dispatcher
+	r      *run
+	e      fleet.Endpoint
+	guard  *guard
+	queued bool
+}
+
+func (a *attempt) fail(f fault, err error) error {
+	return &sendError{fault: f, endpoint: a.e.Name, err: err}
+}
+
+func (a *attempt) dequeue() {
+	if a.queued {
+		a.queued = false
+		a.d.cfg.Health.FirstToken(a.e.Name, a.r.job.tokens)
+	}
+}
+
+func (a *attempt) do(ctx context.Context) error {
+	resp, err := a.request(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return a.refusal(resp)
+	}
+	if err := a.checkIdentity(resp.Header); err != nil {
+		return err
+	}
+	a.learn(resp.Header)
+	a.d.cfg.Health.Succeeded(a.e.Name)
+	if err := a.copy(ctx, resp.Body); err != nil {
+		return err
+	}
+	// The end of the body is read so that the connection can be used again.
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
+	return nil
+}
+
+func (a *attempt) request(ctx context.Context) (*http.Response, error) {
+	path := "/v1/chat/completions"
+	if a.r.job.Request.Kind == openai.Text {
+		path = "/v1/completions"
+	}
+	url := "http://" + a.e.Address.String() + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(a.r.job.body))
+	if err != nil {
+		return nil, a.fail(faultInvalid, fmt.Errorf("make request: %w", err))
+	}
+	a.setHeader(req.Header)
+	resp, err := a.d.http.Do(req)
+	if err == nil {
+		return resp, nil
+	}
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return nil, a.fail(faultUnreachable, err)
+	}
+	return nil, a.fail(faultBroken, err)
+}
+
+func (a *attempt) setHeader(h http.Header) {
+	j := a.r.job
+	h.Set("Content-Type", "application/json")
+	h.Set(engine.HeaderRequestID, j.ID)
+	h.Set(engine.HeaderAttempt, strconv.Itoa(a.r.result.Sends))
+	h.Set(engine.HeaderAccount, j.Account)
+	h.Set(engine.HeaderPriority, string(j.Rank))
+	h.Set(engine.HeaderWeights, j.Model.WeightsVersion)
+	if inc := a.d.cfg.Health.Get(a.e.Name).Report.Incarnation; inc != "" {
+		h.Set(engine.HeaderIncarnation, inc)
+	}
+	if j.Model.Adapter != "" {
+		h.Set(engine.HeaderAdapter, j.Model.Adapter)
+	}
+	if a.r.next > 0 {
+		h.Set(engine.HeaderResumeFrom, strconv.Itoa(a.r.next))
+	}
+}
+
+func (a *attempt) refusal(resp *http.Response) error {
+	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	err := fmt.Errorf("engine answered %d: %s", resp.StatusCode, bytes.TrimSpace(raw))
+	switch resp.StatusCode {
+	case http.StatusConflict:
+		return a.fail(faultMismatch, err)
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		answer := openai.NewError(http.StatusBadRequest, openai.CodeBadField, "%v", err)
+		return a.fail(faultInvalid, answer)
+	default:
+		return a.fail(faultRefused, err)
+	}
+}
+
+// checkIdentity makes sure that the answer is this send's own, and that the
+// engine ran with the incarnation and the weights that the request expects.
+func (a *attempt) checkIdentity(h http.Header) error {
+	j := a.r.job
+	if h.Get(engine.HeaderRequestID) != j.ID || h.Get(engine.HeaderAttempt) != strconv.Itoa(a.r.result.Sends) {
+		a.d.dropped.Inc()
+		return a.fail(faultMismatch, errors.New("the answer belongs to another request"))
+	}
+	if got := h.Get(engine.HeaderWeights); got != j.Model.WeightsVersion {
+		return a.fail(faultMismatch, fmt.Errorf("engine ran weights %q", got))
+	}
+	want := a.d.cfg.Health.Get(a.e.Name).Report.Incarnation
+	if got := h.Get(engine.HeaderIncarnation); want != "" && got != want {
+		return a.fail(faultMismatch, fmt.Errorf("engine ran as incarnation %q", got))
+	}
+	return nil
+}
+
+// learn takes the evidence that the answer gives of the engine's cache.
+func (a *attempt) learn(h http.Header) {
+	cached, err := strconv.Atoi(h.Get(engine.HeaderCachedTokens))
+	if err != nil || cached < 0 {
+		return
+	}
+	j := a.r.job
+	if a.r.result.PromptTokens == 0 {
+		a.r.result.PromptTokens = j.tokens
+		a.r.result.CachedTokens = min(cached, j.tokens)
+	}
+	now := a.d.cfg.Clock.Now()
+	pieces := min(cached/prefix.PieceTokens, len(j.chain))
+	a.d.cfg.Index.Observe(a.e.Name, j.chain, pieces, now)
+	a.d.cfg.Index.Confirm(a.e.Name, h.Get(engine.HeaderIncarnation), j.chain, now)
+}
+
+// copy passes the events on, and makes sure that none is missing or out of order.
+func (a *attempt) copy(ctx context.Context, body io.Reader) error {
+	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return a.fail(faultBroken, err)
+		}
+		number, err := strconv.Atoi(ev.LastEventID)
+		if err != nil || number != a.r.next+1 {
+			return a.fail(faultBroken, fmt.Errorf("event %q follows event %d", ev.LastEventID, a.r.next))
+		}
+		a.dequeue()
+		if a.r.result.FirstToken.IsZero() {
+			a.r.result.FirstToken = a.d.cfg.Clock.Now()
+		}
+		a.guard.pause()
+		if err := a.r.sink.Event(ctx, number, []byte(ev.Data)); err != nil {
+			return a.fail(faultSink, err)
+		}
+		a.guard.progress()
+		a.r.next = number
+		clear(a.r.tried)
+		if ev.Data == openai.Done {
+			return nil
+		}
+		a.r.result.AnswerTokens++
+	}
+	return a.fail(faultBroken, io.ErrUnexpectedEOF)
+}
--- /dev/null
+++ b/router/send/choose.go
@@ -0,0 +1,102 @@
+package send
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"cicadastand.dev/core/coord/health"
+	"cicadastand.dev/core/coord/route"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/fleet"
+)
+
+// choose picks the endpoint for the next send and enters the job there. A
+// suspect waits until an endpoint is free of other suspects.
+func (d *Dispatcher) choose(ctx context.Context, r *run) (fleet.Endpoint, error) {
+	for {
+		usable := d.usable(r)
+		if len(usable) == 0 {
+			return fleet.Endpoint{}, &ErrNoEndpoint{Model: r.job.Model.Name}
+		}
+		if e, ok := d.enter(r, usable); ok {
+			return e, nil
+		}
+		if err := clock.Sleep(ctx, d.cfg.Clock, retryPause); err != nil {
+			return fleet.Endpoint{}, errors.Join(&ErrNoEndpoint{Model: r.job.Model.Name}, err)
+		}
+	}
+}
+
+// enter tries the usable endpoints in the policy's order.
+func (d *Dispatcher) enter(r *run, usable []fleet.Endpoint) (fleet.Endpoint, bool) {
+	now := d.cfg.Clock.Now()
+	for len(usable) > 0 {
+		i := d.pick(r, usable)
+		e := usable[i]
+		if d.cfg.Poison.Enter(e.Name, r.job.fingerprint, now) {
+			return e, true
+		}
+		usable = slices.Delete(usable, i, i+1)
+	}
+	return fleet.Endpoint{}, false
+}
+
+func (d *Dispatcher) pick(r *run, usable []fleet.Endpoint) int {
+	names := make([]string, len(usable))
+	for i, e := range usable {
+		names[i] = e.Name
+	}
+	held := d.cfg.Index.Held(r.job.chain, names, d.cfg.Clock.Now())
+	candidates := make([]route.Candidate, len(usable))
+	for i, e := range usable {
+		s := d.cfg.Health.Get(e.Name)
+		candidates[i] = route.Candidate{
+			Name:          e.Name,
+			FailureDomain: e.FailureDomain,
+			Slots:         e.Slots,
+			PrefillRate:   e.PrefillRate,
+			Running:       s.Running(),
+			QueuedTokens:  s.QueuedTokens(),
+			ServiceTime:   s.ServiceTime,
+			Held:          held[i],
+		}
+	}
+	req := route.Request{Chain: r.job.chain, Tokens: r.job.tokens, FailureDomain: d.cfg.FailureDomain}
+	return d.cfg.Policy.Choose(req, candidates)
+}
+
+// usable returns the best class of endpoints that is not empty: live ones, then
+// suspect ones, then ejected ones. Endpoints that failed this job come last in
+// each class, and leaving ones are never used.
+func (d *Dispatcher) usable(r *run) []fleet.Endpoint {
+	all := d.cfg.Views.View().Fleet.Serving(fleet.KindEngine, r.job.Model.Name)
+	classes := []health.State{health.Live, health.Suspect, health.Ejected}
+	for _, skipTried := range []bool{true, false} {
+		for _, class := range classes {
+			if out := d.inClass(r, all, class, skipTried); len(out) > 0 {
+				return out
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) inClass(r *run, all []fleet.Endpoint, class health.State, skipTried bool) []fleet.Endpoint {
+	var out []fleet.Endpoint
+	for _, e := range all {
+		s := d.cfg.Health.Get(e.Name)
+		if s.State != class || skipTried && r.tried[e.Name] || !fits(r.job, s) {
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// fits reports whether the endpoint runs the weights that the job asks for, as
+// far as known. An endpoint that has not reported yet may.
+func fits(j *Job, s health.Status) bool {
+	version, ok := s.Report.Weights[j.Model.Name]
+	return s.Report.Incarnation == "" || ok && version == j.Model.WeightsVersion && !s.Report.Loading
+}
--- /dev/null
+++ b/router/send/send.go
@@ -0,0 +1,216 @@
+package send
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/coord/health"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/retry"
+	"cicadastand.dev/core/coord/route"
+	"cicadastand.dev/core/proto/openai"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/index"
+)
+
+// Views gives the configuration in force.
+type Views interface {
+	View() *conf.View
+}
+
+// Prober asks an endpoint for its report now.
+type Prober interface {
+	// Probe returns the incarnation that the endpoint reports.
+	Probe(ctx context.Context, e fleet.Endpoint) (string, error)
+}
+
+// Alarm tells the other hosts of a suspect without delay.
+type Alarm interface {
+	Suspect(ctx context.Context, s poison.Suspect)
+}
+
+// Config says what a Dispatcher works with.
+type Config struct {
+	Clock         clock.Service
+	Views         Views
+	Policy        route.Policy
+	Health        *health.Table
+	Index         *index.Index
+	Poison        *poison.Table
+	Prober        Prober
+	Alarm         Alarm
+	FailureDomain string
+	// StallTimeout is how long an engine may make no progress.
+	StallTimeout time.Duration
+	Logger       hclog.Logger
+	Metrics      *metrics.Set
+}
+
+const (
+	// maxSends bounds how often one request is sent.
+	maxSends        = 6
+	idleConnsPerEng = 64
+	probeTimeout    = 300 * time.Millisecond
+	// retryPause is the wait before the same engine is asked again.
+	retryPause = 20 * time.Millisecond
+)
+
+// resumeBudget bounds repeats after an engine broke off: those are fewer than
+// refusals and have costly work behind them.
+var resumeBudget = retry.Config{Ratio: 0.5, Burst: 64}
+
+// Dispatcher runs jobs on engines.
+type Dispatcher struct {
+	cfg     Config
+	http    *http.Client
+	retries *retry.Set
+	resumes *retry.Set
+
+	sends      *metrics.Counter
+	repeats    *metrics.Counter
+	mismatches *metrics.Counter
+	dropped    *metrics.Counter
+	crashes    *metrics.Counter
+}
+
+// New returns a dispatcher.
+func New(cfg Config) *Dispatcher {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerEng}
+	return &Dispatcher{
+		cfg:        cfg,
+		http:       &http.Client{Transport: transport},
+		retries:    retry.NewSet(retry.DefaultConfig()),
+		resumes:    retry.NewSet(resumeBudget),
+		sends:      cfg.Metrics.NewCounter("cicada_engine_sends_total"),
+		repeats:    cfg.Metrics.NewCounter("cicada_engine_repeats_total"),
+		mismatches: cfg.Metrics.NewCounter("cicada_engine_mismatches_total"),
+		dropped:    cfg.Metrics.NewCounter("cicada_engine_answers_dropped_total"),
+		crashes:    cfg.Metrics.NewCounter("cicada_engine_crashes_total"),
+	}
+}
+
+// Close drops idle connections.
+func (d *Dispatcher) Close() { d.http.CloseIdleConnections() }
+
+// run is the state of one job over its sends.
+type run struct {
+	job    *Job
+	sink   Sink
+	result Result
+	// next is the number of events that the sink has.
+	next int
+	// tried holds the endpoints that failed since the last progress.
+	tried map[string]bool
+}
+
+// Run sends a job until its answer is whole. It returns ErrNoEndpoint,
+// poison.ErrRefused, ErrCaller, ErrIncomplete, or an openai.Error of the engine.
+func (d *Dispatcher) Run(ctx context.Context, job *Job, sink Sink) (Result, error) {
+	r := &run{job: job, sink: sink, next: job.Resume, tried: make(map[string]bool)}
+	d.retries.Get(job.Account).First()
+	d.resumes.Get(job.Account).First()
+	var last error
+	for r.result.Sends < maxSends {
+		if err := d.cfg.Poison.Check(job.fingerprint, d.cfg.Views.View().Fleet.CrashLimit, d.cfg.Clock.Now()); err != nil {
+			return r.result, d.finish(r, err)
+		}
+		endpoint, err := d.choose(ctx, r)
+		if err != nil {
+			return r.result, d.finish(r, errors.Join(err, last))
+		}
+		err = d.send(ctx, r, endpoint)
+		if err == nil {
+			d.cfg.Poison.Completed(job.fingerprint)
+			return r.result, nil
+		}
+		last = err
+		if !d.mayRepeat(ctx, r, endpoint, err) {
+			break
+		}
+		d.repeats.Inc()
+	}
+	return r.result, d.finish(r, last)
+}
+
+// finish gives an error its type for the caller.
+func (d *Dispatcher) finish(r *run, err error) error {
+	var failed *sendError
+	if errors.As(err, &failed) && failed.fault == faultSink {
+		return &ErrCaller{Err: failed.err}
+	}
+	var answer *openai.Error
+	if errors.As(err, &answer) {
+		return answer
+	}
+	if r.next > r.job.Resume {
+		return &ErrIncomplete{Events: r.next, Err: err}
+	}
+	return err
+}
+
+// mayRepeat decides whether a failed send may be followed by another one.
+func (d *Dispatcher) mayRepeat(ctx context.Context, r *run, e fleet.Endpoint, err error) bool {
+	var failed *sendError
+	if !errors.As(err, &failed) || ctx.Err() != nil {
+		return false
+	}
+	log := d.cfg.Logger.With("request", r.job.ID, "endpoint", e.Name)
+	now := d.cfg.Clock.Now()
+	account := r.job.Account
+	switch failed.fault {
+	case faultSink, faultInvalid:
+		return false
+	case faultMismatch:
+		d.mismatches.Inc()
+		log.Info("endpoint has changed", "error", failed.err)
+		_, _ = d.probe(ctx, e)
+		return clock.Sleep(ctx, d.cfg.Clock, retryPause) == nil
+	case faultUnreachable:
+		d.cfg.Health.Failed(e.Name, now)
+		r.tried[e.Name] = true
+		return d.retries.Get(account).Repeat()
+	case faultRefused:
+		r.tried[e.Name] = true
+		return d.retries.Get(account).Repeat()
+	case faultStalled:
+		log.Warn("endpoint makes no progress", "events", r.next)
+		d.cfg.Health.Crashed(e.Name, now)
+		r.tried[e.Name] = true
+		return d.resumes.Get(account).Repeat()
+	default:
+		d.broken(ctx, r, e, log)
+		return d.resumes.Get(account).Repeat()
+	}
+}
+
+// broken finds out whether the endpoint crashed, or the connection alone broke.
+func (d *Dispatcher) broken(ctx context.Context, r *run, e fleet.Endpoint, log hclog.Logger) {
+	r.tried[e.Name] = true
+	before := d.cfg.Health.Get(e.Name).Report.Incarnation
+	after, err := d.probe(ctx, e)
+	if err == nil && after == before {
+		log.Warn("answer broke off", "events", r.next)
+		return
+	}
+	d.crashes.Inc()
+	now := d.cfg.Clock.Now()
+	if err != nil {
+		d.cfg.Health.Crashed(e.Name, now)
+	}
+	s := d.cfg.Poison.Crashed(r.job.fingerprint, now)
+	log.Warn("endpoint crashed", "events", r.next, "crashes-of-request", s.Crashes)
+	d.cfg.Alarm.Suspect(ctx, s)
+}
+
+func (d *Dispatcher) probe(ctx context.Context, e fleet.Endpoint) (string, error) {
+	ctx, cancel := clock.WithTimeout(ctx, d.cfg.Clock, probeTimeout)
+	defer cancel()
+	return d.cfg.Prober.Probe(ctx, e)
+}
--- /dev/null
+++ b/stand/platform/platform.go
@@ -0,0 +1,245 @@
+// Package platform stands in for the platform's services: an append-only log
+// with limited retention and a lagging list of hosts.
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"cicadastand.dev/core/proto/logapi"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/stand/fault"
+)
+
+// Config describes the stand-in.
+type Config struct {
+	Clock clock.Service
+	// Retention is how long the log keeps records; 0 keeps all.
+	Retention time.Duration
+	// AppendsPerSecond bounds the appends over all streams.
+	AppendsPerSecond float64
+	// ListLag is how old the list of hosts is.
+	ListLag time.Duration
+	Seed    uint64
+}
+
+const (
+	maxRecordBytes = 1 << 20
+	appendBurst    = 100
+	maxReadWait    = 30 * time.Second
+)
+
+// Platform is the stand-in.
+type Platform struct {
+	cfg     Config
+	faults  *fault.Board
+	limiter *rate.Limiter
+	mu      sync.Mutex
+	streams map[string]*log
+	lists   []listVersion
+}
+
+type log struct {
+	first   uint64
+	records []logapi.RecordBody
+	grown   chan struct{}
+}
+
+type listVersion struct {
+	at    time.Time
+	hosts []logapi.Host
+}
+
+// New returns a stand-in with an empty log.
+func New(cfg Config) *Platform {
+	return &Platform{
+		cfg:     cfg,
+		faults:  fault.NewBoard(cfg.Seed),
+		limiter: rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond), appendBurst),
+		streams: make(map[string]*log),
+	}
+}
+
+// Faults returns the fault switches.
+func (p *Platform) Faults() *fault.Board { return p.faults }
+
+// Handler returns the HTTP interface.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/records", p.appendRecord)
+	mux.HandleFunc("GET /v1/streams/{stream}/records", p.readRecords)
+	mux.HandleFunc("GET /v1/hosts", p.listHosts)
+	mux.HandleFunc("PUT /control/hosts", p.setHosts)
+	mux.Handle("/control/faults", p.faults)
+	mux.HandleFunc("POST /control/trim", p.trimAll)
+	return mux
+}
+
+func (p *Platform) appendRecord(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxRecordBytes+1))
+	if err != nil || len(data) > maxRecordBytes {
+		fail(w, http.StatusRequestEntityTooLarge, "a record holds at most 1 MiB", 0)
+		return
+	}
+	if p.faults.TakeRefuse() {
+		fail(w, http.StatusServiceUnavailable, "the log is down", 0)
+		return
+	}
+	if !p.limiter.AllowN(p.cfg.Clock.Now(), 1) {
+		fail(w, http.StatusTooManyRequests, "too many appends", 0)
+		return
+	}
+	p.faults.Delay(r)
+	offset := p.add(r.PathValue("stream"), data)
+	if p.faults.TakeLoseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, logapi.AppendBody{Offset: offset})
+}
+
+func (p *Platform) add(name string, data []byte) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.stream(name)
+	offset := l.first + uint64(len(l.records))
+	l.records = append(l.records, logapi.RecordBody{Offset: offset, Time: p.cfg.Clock.Now(), Data: data})
+	p.trim(l)
+	close(l.grown)
+	l.grown = make(chan struct{})
+	return offset
+}
+
+func (p *Platform) stream(name string) *log {
+	l, ok := p.streams[name]
+	if !ok {
+		l = &log{first: 1, grown: make(chan struct{})}
+		p.streams[name] = l
+	}
+	return l
+}
+
+func (p *Platform) trim(l *log) {
+	if p.cfg.Retention <= 0 {
+		return
+	}
+	oldest := p.cfg.Clock.Now().Add(-p.cfg.Retention)
+	n := 0
+	for n < len(l.records) && l.records[n].Time.Before(oldest) {
+		n++
+	}
+	l.drop(n)
+}
+
+func (l *log) drop(n int) {
+	l.records = slices.Delete(l.records, 0, n)
+	l.first += uint64(n)
+}
+
+// trimAll drops all records but the last ones, as passing time would.
+func (p *Platform) trimAll(w http.ResponseWriter, r *http.Request) {
+	keep, err := strconv.Atoi(r.URL.Query().Get("keep"))
+	if err != nil || keep < 0 {
+		fail(w, http.StatusBadRequest, "keep must be a number", 0)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.streams {
+		l.drop(max(0, len(l.records)-keep))
+	}
+	reply(w, struct{}{})
+}
+
+func (p *Platform) readRecords(w http.ResponseWriter, r *http.Request) {
+	if p.faults.Get().Down {
+		fail(w, http.StatusServiceUnavailable, "the log is down", 0)
+		return
+	}
+	p.faults.Delay(r)
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
+	limit, err2 := strconv.Atoi(query.Get("limit"))
+	waitMs, err3 := strconv.Atoi(query.Get("wait-ms"))
+	if err != nil || err2 != nil || err3 != nil || from < 1 || limit < 1 || waitMs < 0 {
+		fail(w, http.StatusBadRequest, "from, limit and wait-ms must be numbers", 0)
+		return
+	}
+	wait := min(time.Duration(waitMs)*time.Millisecond, maxReadWait)
+	p.waitFor(r, from, wait)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.stream(r.PathValue("stream"))
+	p.trim(l)
+	if from < l.first {
+		fail(w, http.StatusGone, "the offset is no longer kept", l.first)
+		return
+	}
+	at := min(int(from-l.first), len(l.records))
+	end := min(at+limit, len(l.records))
+	reply(w, logapi.ReadBody{Records: slices.Clone(l.records[at:end]), Next: l.first + uint64(end)})
+}
+
+func (p *Platform) waitFor(r *http.Request, from uint64, wait time.Duration) {
+	p.mu.Lock()
+	l := p.stream(r.PathValue("stream"))
+	has := from < l.first+uint64(len(l.records))
+	grown := l.grown
+	p.mu.Unlock()
+	if has || wait <= 0 {
+		return
+	}
+	sub := p.cfg.Clock.Once(wait)
+	defer sub.Stop()
+	select {
+	case <-grown:
+	case <-sub.C():
+	case <-r.Context().Done():
+	}
+}
+
+func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) {
+	if p.faults.Get().Down {
+		fail(w, http.StatusServiceUnavailable, "the list is down", 0)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	asOf := p.cfg.Clock.Now().Add(-p.cfg.ListLag)
+	hosts := []logapi.Host{}
+	for i, v := range p.lists {
+		if i == 0 || !v.at.After(asOf) {
+			hosts = v.hosts
+		}
+	}
+	reply(w, logapi.HostsBody{Hosts: hosts})
+}
+
+func (p *Platform) setHosts(w http.ResponseWriter, r *http.Request) {
+	var body logapi.HostsBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		fail(w, http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lists = append(p.lists, listVersion{at: p.cfg.Clock.Now(), hosts: body.Hosts})
+	reply(w, struct{}{})
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func fail(w http.ResponseWriter, status int, message string, first uint64) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(logapi.ErrorBody{Message: message, First: first})
+}
--- /dev/null
+++ b/stand/service/service.go
@@ -0,0 +1,165 @@
+// Package service stands in for a plain service that takes orders. It counts
+// every execution by key, so a test can tell whether an order ran twice.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"cicadastand.dev/core/proto/engine"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/stand/fault"
+)
+
+// HeaderKey is the header that carries the idempotency key.
+const HeaderKey = "Idempotency-Key"
+
+// HeaderAccount is the header that carries the client account.
+const HeaderAccount = engine.HeaderAccount
+
+// Config describes the stand-in.
+type Config struct {
+	Clock clock.Service
+	// Work is how long one order takes.
+	Work time.Duration
+	// ChecksKeys makes the service run each key once and repeat its answer.
+	ChecksKeys bool
+	Seed       uint64
+}
+
+// Execution is what the service knows of one key.
+type Execution struct {
+	Account string `json:"account"`
+	Key     string `json:"key"`
+	// Count is how often the order ran.
+	Count  int    `json:"count"`
+	Number int    `json:"number"`
+	Body   string `json:"body"`
+}
+
+// ExecutionsBody lists the executions.
+type ExecutionsBody struct {
+	Executions []Execution `json:"executions"`
+}
+
+// OrderBody is the answer to an order.
+type OrderBody struct {
+	Order  int    `json:"order"`
+	Key    string `json:"key"`
+	Status string `json:"status"`
+}
+
+const maxBody = 1 << 20
+
+// Service is the stand-in.
+type Service struct {
+	cfg    Config
+	faults *fault.Board
+	mu     sync.Mutex
+	byKey  map[string]*Execution
+	orders int
+}
+
+// New returns a service without orders.
+func New(cfg Config) *Service {
+	return &Service{cfg: cfg, faults: fault.NewBoard(cfg.Seed), byKey: make(map[string]*Execution)}
+}
+
+// Handler returns the HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", s.order)
+	mux.HandleFunc("GET /orders/{key}", s.status)
+	mux.HandleFunc("GET /stock/{item}", s.stock)
+	mux.HandleFunc("GET /control/executions", s.executions)
+	mux.Handle("/control/faults", s.faults)
+	return mux
+}
+
+func (s *Service) order(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if s.faults.TakeRefuse() {
+		http.Error(w, "the service is down", http.StatusServiceUnavailable)
+		return
+	}
+	s.faults.Delay(r)
+	ex, fresh := s.execute(r.Header.Get(HeaderAccount), r.Header.Get(HeaderKey), string(body))
+	if fresh && s.cfg.Work > 0 {
+		sub := s.cfg.Clock.Once(s.cfg.Work)
+		<-sub.C()
+		sub.Stop()
+	}
+	if s.faults.TakeLoseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, http.StatusCreated, OrderBody{Order: ex.Number, Key: ex.Key, Status: "placed"})
+}
+
+func (s *Service) execute(account, key, body string) (Execution, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := account + "/" + key
+	ex, ok := s.byKey[id]
+	if !ok {
+		ex = &Execution{Account: account, Key: key}
+		s.byKey[id] = ex
+	}
+	if ok && s.cfg.ChecksKeys {
+		return *ex, false
+	}
+	s.orders++
+	ex.Count++
+	ex.Number = s.orders
+	ex.Body = body
+	return *ex, true
+}
+
+func (s *Service) status(w http.ResponseWriter, r *http.Request) {
+	if s.faults.TakeRefuse() {
+		http.Error(w, "the service is down", http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
+	ex, ok := s.byKey[r.Header.Get(HeaderAccount)+"/"+r.PathValue("key")]
+	s.mu.Unlock()
+	if !ok {
+		reply(w, http.StatusNotFound, OrderBody{Key: r.PathValue("key"), Status: "unknown"})
+		return
+	}
+	reply(w, http.StatusOK, OrderBody{Order: ex.Number, Key: ex.Key, Status: "placed"})
+}
+
+func (s *Service) stock(w http.ResponseWriter, r *http.Request) {
+	if s.faults.TakeRefuse() {
+		http.Error(w, "the service is down", http.StatusServiceUnavailable)
+		return
+	}
+	s.faults.Delay(r)
+	reply(w, http.StatusOK, struct {
+		Item  string `json:"item"`
+		Stock int    `json:"stock"`
+	}{Item: r.PathValue("item"), Stock: len(r.PathValue("item"))})
+}
+
+func (s *Service) executions(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := ExecutionsBody{Executions: []Execution{}}
+	for _, ex := range s.byKey {
+		out.Executions = append(out.Executions, *ex)
+	}
+	reply(w, http.StatusOK, out)
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
