Prove the guarantees by scripted scenarios on real processes

Cause: nothing showed that the guarantees hold under kills, freezes, cuts, lost answers, outages and races. Found and mended: a client library could not read a comment in place of the usage chunk (the engine is now asked for usage only when the caller wants it); after a quick restart of an engine a lagging report brought the dead incarnation back and requests ended unknown (replaced incarnations are now remembered, and the engine's own word goes before its reports).

--- a/core/coord/health/health.go
+++ b/core/coord/health/health.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -78,6 +79,9 @@
 
 type record struct {
 	Status
+	// dead lists the latest incarnations that were replaced. Reports lag, so one
+	// of them may still be reported.
+	dead         []string
 	suspectSince time.Time
 	leaveMarked  bool
 	ownBefore    int
@@ -111,13 +115,19 @@
 	return r
 }
 
-// Reported takes an endpoint's report. It reports whether the incarnation is a
-// new one for an endpoint that was known before.
+// deadKept bounds the replaced incarnations that are remembered for an endpoint.
+const deadKept = 8
+
+// Reported takes an endpoint's report. It returns false, and takes nothing but
+// the sign of life, if the report is about an incarnation that was replaced.
 func (t *Table) Reported(name string, rep Report, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.get(name)
-	renewed := r.Report.Incarnation != "" && r.Report.Incarnation != rep.Incarnation
+	if slices.Contains(r.dead, rep.Incarnation) {
+		return false
+	}
+	r.replace(rep.Incarnation)
 	r.Report = rep
 	r.Seen = now
 	r.Others = max(0, rep.Running+rep.Queued-r.ownBefore)
@@ -125,7 +135,32 @@
 	r.ownBefore = r.Own
 	r.tokensBefore = r.OwnTokens
 	r.succeed()
-	return renewed
+	return true
+}
+
+// Answered takes the incarnation that an endpoint itself names in an answer,
+// which is newer than any report. It reports whether the incarnation is new.
+func (t *Table) Answered(name, incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.get(name)
+	if incarnation == "" || incarnation == r.Report.Incarnation || slices.Contains(r.dead, incarnation) {
+		return false
+	}
+	r.replace(incarnation)
+	return true
+}
+
+// replace makes an incarnation the current one and voids the one before.
+func (r *record) replace(incarnation string) {
+	if r.Report.Incarnation == incarnation {
+		return
+	}
+	if r.Report.Incarnation != "" {
+		r.dead = append(r.dead, r.Report.Incarnation)
+		r.dead = r.dead[max(0, len(r.dead)-deadKept):]
+	}
+	r.Report.Incarnation = incarnation
 }
 
 // Succeeded notes that the endpoint answered.
--- a/core/proto/logapi/client.go
+++ b/core/proto/logapi/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -89,6 +90,8 @@
 	Address netip.AddrPort
 	// Timeout bounds each call beyond the wait that the call asks for.
 	Timeout time.Duration
+	// Dial makes connections; nil for the usual way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls the platform.
@@ -105,7 +108,7 @@
 
 // New returns a client.
 func New(cfg Config) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConns}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConns, DialContext: cfg.Dial}
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
 }
 
--- a/core/proto/openai/request.go
+++ b/core/proto/openai/request.go
@@ -65,6 +65,10 @@
 	return r, nil
 }
 
+// WantsUsage reports whether the engine's events include a usage chunk: a stream
+// has one only if its caller asks, so that event numbers have no gap.
+func (r *Request) WantsUsage() bool { return !r.Stream || r.IncludeUsage }
+
 // EngineBody returns the body for an engine, which is always asked to stream.
 func (r *Request) EngineBody() ([]byte, error) {
 	fields := make(map[string]json.RawMessage, len(r.fields)+2)
@@ -72,7 +76,7 @@
 		fields[k] = v
 	}
 	fields["stream"] = json.RawMessage("true")
-	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["stream_options"] = json.RawMessage(fmt.Sprintf(`{"include_usage":%t}`, r.WantsUsage()))
 	body, err := json.Marshal(fields)
 	if err != nil {
 		return nil, fmt.Errorf("encode engine request: %w", err)
--- a/router/chore/chore.go
+++ b/router/chore/chore.go
@@ -35,15 +35,14 @@
 	Self     string
 	// ListInterval is the time between reads of the platform's list.
 	ListInterval time.Duration
-	Logger       hclog.Logger
+	// HeartbeatInterval and CheckpointInterval are the times between records.
+	HeartbeatInterval  time.Duration
+	CheckpointInterval time.Duration
+	Logger             hclog.Logger
 }
 
-const (
-	heartbeatEvery  = 2 * time.Second
-	checkpointEvery = time.Minute
-	// checkpointBytes bounds the document text of one checkpoint record.
-	checkpointBytes = 256 << 10
-)
+// checkpointBytes bounds the document text of one checkpoint record.
+const checkpointBytes = 256 << 10
 
 // Runner does the chores.
 type Runner struct {
@@ -58,9 +57,9 @@
 func (r *Runner) Run(ctx context.Context) {
 	list := r.cfg.Clock.Subscribe(r.cfg.ListInterval)
 	defer list.Stop()
-	beat := r.cfg.Clock.Subscribe(heartbeatEvery)
+	beat := r.cfg.Clock.Subscribe(r.cfg.HeartbeatInterval)
 	defer beat.Stop()
-	checkpoint := r.cfg.Clock.Subscribe(checkpointEvery)
+	checkpoint := r.cfg.Clock.Subscribe(r.cfg.CheckpointInterval)
 	defer checkpoint.Stop()
 	r.readList(ctx)
 	for {
--- a/router/front/complete.go
+++ b/router/front/complete.go
@@ -94,7 +94,7 @@
 	defer cancel()
 	var out sink
 	if job.Request.Stream {
-		out = newStreamSink(x, job, s.cfg.Clock, s.cfg.WriteTimeout)
+		out = newStreamSink(x, s.cfg.Clock, s.cfg.WriteTimeout)
 	} else {
 		out = &wholeSink{collector: openai.NewCollector(job.Request.Kind)}
 	}
--- a/router/front/sink.go
+++ b/router/front/sink.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"cicadastand.dev/core/proto/openai"
@@ -48,22 +47,19 @@
 	out          *http.ResponseController
 	clock        clock.Service
 	writeTimeout time.Duration
-	usage        bool
 	open         bool
 }
 
-func newStreamSink(x *exchange, job *send.Job, service clock.Service, writeTimeout time.Duration) *streamSink {
+func newStreamSink(x *exchange, service clock.Service, writeTimeout time.Duration) *streamSink {
 	return &streamSink{
 		x:            x,
 		out:          http.NewResponseController(x.w),
 		clock:        service,
 		writeTimeout: writeTimeout,
-		usage:        job.Request.IncludeUsage,
 	}
 }
 
-// Event writes one event. The usage chunk keeps its number but not its content
-// when the caller did not ask for it, so that numbers are the same for all.
+// Event writes one event.
 func (s *streamSink) Event(_ context.Context, number int, data []byte) error {
 	if !s.open {
 		s.open = true
@@ -71,9 +67,6 @@
 		s.x.w.Header().Set("Cache-Control", "no-store")
 		s.x.w.WriteHeader(http.StatusOK)
 	}
-	if !s.usage && isUsage(data) {
-		return s.write(fmt.Sprintf(": %d\n\n", number))
-	}
 	return s.write(fmt.Sprintf("id: %d\ndata: %s\n\n", number, data))
 }
 
@@ -105,8 +98,3 @@
 		x.log.Debug("error can't be written", "error", err)
 	}
 }
-
-// isUsage reports whether the data is the chunk that carries the usage alone.
-func isUsage(data []byte) bool {
-	return strings.Contains(string(data), `"choices":[],"usage"`)
-}
--- a/router/node/parts.go
+++ b/router/node/parts.go
@@ -21,6 +21,7 @@
 	"cicadastand.dev/core/state/ledger"
 	"cicadastand.dev/core/state/stream"
 	"cicadastand.dev/core/state/usage"
+	"cicadastand.dev/core/trans/dials"
 	"cicadastand.dev/router/certs"
 	"cicadastand.dev/router/chore"
 	"cicadastand.dev/router/front"
@@ -57,12 +58,18 @@
 }
 
 func (n *Node) self() member.Host {
-	return member.Host{Name: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Address: n.settings.Peers.Address}
+	address := n.settings.Peers.Address
+	if n.settings.Host.Advertise.IsValid() {
+		address = n.settings.Host.Advertise
+	}
+	return member.Host{Name: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Address: address}
 }
 
+func (n *Node) dial() dials.Func { return dials.From(n.settings.Host.Source) }
+
 func provideLog(n *Node) {
 	do.Provide(n.scope, func(do.Injector) (*logapi.Client, error) {
-		return logapi.New(logapi.Config{Clock: n.clock, Address: n.settings.Platform.Address, Timeout: n.settings.Platform.Timeout}), nil
+		return logapi.New(logapi.Config{Clock: n.clock, Address: n.settings.Platform.Address, Timeout: n.settings.Platform.Timeout, Dial: n.dial()}), nil
 	})
 	do.Provide(n.scope, func(i do.Injector) (*claim.Coordinator, error) {
 		return claim.New(claim.Config{
@@ -88,13 +95,15 @@
 	})
 	do.Provide(n.scope, func(i do.Injector) (*chore.Runner, error) {
 		return chore.New(chore.Config{
-			Clock:        n.clock,
-			Platform:     do.MustInvoke[*logapi.Client](i),
-			Members:      do.MustInvoke[*member.Table](i),
-			Store:        do.MustInvoke[*follow.Store](i),
-			Self:         n.settings.Host.Name,
-			ListInterval: n.settings.Platform.ListInterval,
-			Logger:       n.logger.Named("chore"),
+			Clock:              n.clock,
+			Platform:           do.MustInvoke[*logapi.Client](i),
+			Members:            do.MustInvoke[*member.Table](i),
+			Store:              do.MustInvoke[*follow.Store](i),
+			Self:               n.settings.Host.Name,
+			ListInterval:       n.settings.Platform.ListInterval,
+			HeartbeatInterval:  n.settings.Chores.HeartbeatInterval,
+			CheckpointInterval: n.settings.Chores.CheckpointInterval,
+			Logger:             n.logger.Named("chore"),
 		}), nil
 	})
 }
@@ -119,6 +128,7 @@
 			Index:       do.MustInvoke[*index.Index](i),
 			Interval:    s.Routing.ProbeInterval,
 			CacheEvents: s.Routing.CacheEvents,
+			Dial:        n.dial(),
 			Logger:      n.logger.Named("probe"),
 		}), nil
 	})
@@ -150,6 +160,7 @@
 			Alarm:         do.MustInvoke[*peer.Service](i),
 			FailureDomain: s.Host.FailureDomain,
 			StallTimeout:  s.Routing.StallTimeout,
+			Dial:          n.dial(),
 			Logger:        n.logger.Named("send"),
 			Metrics:       do.MustInvoke[*metrics.Set](i),
 		}), nil
@@ -160,6 +171,7 @@
 			Views:  do.MustInvoke[*follow.Store](i),
 			Health: do.MustInvoke[*health.Table](i),
 			Claims: do.MustInvoke[*claim.Coordinator](i),
+			Dial:   n.dial(),
 			Logger: n.logger.Named("order"),
 		}), nil
 	})
@@ -214,11 +226,13 @@
 			Limits:      do.MustInvoke[*limit.Local](i),
 			Keeper:      do.MustInvoke[*limit.Keeper](i),
 			Usage:       do.MustInvoke[*usage.Book](i),
+			Listen:      s.Peers.Address,
 			Seeds:       s.Peers.Seeds,
 			Interval:    s.Peers.Interval,
 			Fanout:      s.Peers.Fanout,
 			ServerCreds: server,
 			ClientCreds: client,
+			Dial:        n.dial(),
 			Logger:      n.logger.Named("peer"),
 			Metrics:     do.MustInvoke[*metrics.Set](i),
 		}), nil
--- a/router/order/once.go
+++ b/router/order/once.go
@@ -62,7 +62,7 @@
 	if !ok || ctx.Err() != nil {
 		return Answer{}, c.abandon(req, attempt, "the deadline has passed, or the endpoint is gone")
 	}
-	shot, err := dialOnce(ctx, endpoint.Address)
+	shot, err := dialOnce(ctx, c.cfg.Dial, endpoint.Address)
 	if err != nil {
 		c.cfg.Health.Failed(endpoint.Name, c.cfg.Clock.Now())
 		log.Info("endpoint can't be reached", "endpoint", endpoint.Name, "error", err)
--- a/router/order/order.go
+++ b/router/order/order.go
@@ -23,6 +23,7 @@
 	"cicadastand.dev/core/state/conf"
 	"cicadastand.dev/core/state/fleet"
 	"cicadastand.dev/core/state/ledger"
+	"cicadastand.dev/core/trans/dials"
 )
 
 // Request is a call of a plain service.
@@ -75,6 +76,8 @@
 	Views  Views
 	Health *health.Table
 	Claims *claim.Coordinator
+	// Dial makes connections to endpoints.
+	Dial   dials.Func
 	Logger hclog.Logger
 }
 
@@ -90,7 +93,7 @@
 
 // New returns a caller.
 func New(cfg Config) *Caller {
-	return &Caller{cfg: cfg, http: newRepeatableClient(), retries: retry.NewSet(retry.DefaultConfig())}
+	return &Caller{cfg: cfg, http: newRepeatableClient(cfg.Dial), retries: retry.NewSet(retry.DefaultConfig())}
 }
 
 // Close drops idle connections.
--- a/router/order/wire.go
+++ b/router/order/wire.go
@@ -17,6 +17,7 @@
 	"cicadastand.dev/core/proto/engine"
 	"cicadastand.dev/core/proto/openai"
 	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/trans/dials"
 )
 
 const (
@@ -33,9 +34,8 @@
 }
 
 // dialOnce opens the connection. After an error, nothing was sent.
-func dialOnce(ctx context.Context, address netip.AddrPort) (*oneShot, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+func dialOnce(ctx context.Context, dial dials.Func, address netip.AddrPort) (*oneShot, error) {
+	conn, err := dial(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
@@ -70,8 +70,8 @@
 // keepRedirect hands a redirect to the caller instead of following it.
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-func newRepeatableClient() *http.Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerSvc}
+func newRepeatableClient(dial dials.Func) *http.Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerSvc, DialContext: dial}
 	return &http.Client{Transport: transport, CheckRedirect: keepRedirect}
 }
 
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -27,6 +27,7 @@
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/conf"
 	"cicadastand.dev/core/state/usage"
+	"cicadastand.dev/core/trans/dials"
 )
 
 // Config says what a Service works with.
@@ -40,6 +41,8 @@
 	Limits  *limit.Local
 	Keeper  *limit.Keeper
 	Usage   *usage.Book
+	// Listen is where this host answers peers.
+	Listen netip.AddrPort
 	// Seeds are peers to contact before any is known.
 	Seeds []netip.AddrPort
 	// Interval is the time between exchanges, Fanout the number of peers each time.
@@ -48,8 +51,10 @@
 	// ServerCreds and ClientCreds secure the contact.
 	ServerCreds credentials.TransportCredentials
 	ClientCreds credentials.TransportCredentials
-	Logger      hclog.Logger
-	Metrics     *metrics.Set
+	// Dial makes connections to peers.
+	Dial    dials.Func
+	Logger  hclog.Logger
+	Metrics *metrics.Set
 }
 
 const (
@@ -95,7 +100,7 @@
 // Listen opens the listener and answers peers.
 func (s *Service) Listen(ctx context.Context) error {
 	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", s.cfg.Self.Address.String())
+	listener, err := lc.Listen(ctx, "tcp", s.cfg.Listen.String())
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -234,6 +239,7 @@
 		conn, err = grpc.NewClient("passthrough:///"+address.String(),
 			grpc.WithTransportCredentials(s.cfg.ClientCreds),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+			grpc.WithContextDialer(s.dial),
 			grpc.WithConnectParams(connectParams()))
 		if err != nil {
 			return nil, fmt.Errorf("connect to %s: %w", address, err)
@@ -243,6 +249,10 @@
 	return peerpb.NewPeerClient(conn), nil
 }
 
+func (s *Service) dial(ctx context.Context, address string) (net.Conn, error) {
+	return s.cfg.Dial(ctx, "tcp", address)
+}
+
 // pick returns the peers of the next exchange: a few at random, and the seeds
 // while no peer is known.
 func (s *Service) pick() []netip.AddrPort {
--- a/router/prefs/prefs.go
+++ b/router/prefs/prefs.go
@@ -27,6 +27,7 @@
 	Platform  Platform  `yaml:"platform"`
 	Routing   Routing   `yaml:"routing"`
 	Admission Admission `yaml:"admission"`
+	Chores    Chores    `yaml:"chores"`
 	Stop      Stop      `yaml:"stop"`
 	Log       Log       `yaml:"log"`
 	// Snapshot is a file with a configuration snapshot, used while nothing newer is known.
@@ -37,6 +38,12 @@
 type Host struct {
 	Name          string `yaml:"name"`
 	FailureDomain string `yaml:"failure-domain"`
+	// Source is the address that connections are made from; the system chooses
+	// where it is left out.
+	Source netip.Addr `yaml:"source"`
+	// Advertise is the address under which peers reach this host, if it is not
+	// the one that it listens on.
+	Advertise netip.AddrPort `yaml:"advertise"`
 }
 
 // TLS names the files of a key pair. With an authority, the other side must
@@ -128,6 +135,14 @@
 	Overcommit float64 `yaml:"overcommit"`
 }
 
+// Chores sets up what one host does for all.
+type Chores struct {
+	// HeartbeatInterval is the time between stamped records on the log.
+	HeartbeatInterval time.Duration `yaml:"heartbeat-interval"`
+	// CheckpointInterval is the time between checkpoints of the configuration.
+	CheckpointInterval time.Duration `yaml:"checkpoint-interval"`
+}
+
 // Stop sets up the graceful stop.
 type Stop struct {
 	// Notice is the time between the announcement of the stop and the closing of
@@ -163,6 +178,7 @@
 		Platform:  Platform{Timeout: 2 * time.Second, ListInterval: time.Second},
 		Routing:   Routing{Policy: route.NameExpect, ProbeInterval: 250 * time.Millisecond, StallTimeout: 3 * time.Second, MaxKeys: 50_000},
 		Admission: Admission{MaxQueue: 1000, UrgentReserve: 0.1, Overcommit: 1},
+		Chores:    Chores{HeartbeatInterval: 2 * time.Second, CheckpointInterval: time.Minute},
 		Stop:      Stop{Notice: time.Second, Grace: 2 * time.Minute},
 		Log:       Log{Level: "info"},
 	}
@@ -238,6 +254,8 @@
 		{s.Admission.MaxQueue > 0, "admission.max-queue", positive},
 		{s.Admission.UrgentReserve >= 0 && s.Admission.UrgentReserve < 1, "admission.urgent-reserve", "must be at least 0 and below 1"},
 		{s.Admission.Overcommit > 0 && s.Admission.Overcommit <= 16, "admission.overcommit", "must be above 0 and at most 16"},
+		{s.Chores.HeartbeatInterval > 0, "chores.heartbeat-interval", positive},
+		{s.Chores.CheckpointInterval > 0, "chores.checkpoint-interval", positive},
 		{s.Stop.Notice >= 0, "stop.notice", "must not be negative"},
 		{s.Stop.Grace > 0, "stop.grace", positive},
 		{hclog.LevelFromString(s.Log.Level) != hclog.NoLevel, "log.level", "must be trace, debug, info, warn or error"},
--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -21,6 +20,7 @@
 	"cicadastand.dev/core/state/fleet"
 	"cicadastand.dev/core/state/index"
 	"cicadastand.dev/core/state/prefix"
+	"cicadastand.dev/core/trans/dials"
 )
 
 // Views gives the configuration in force.
@@ -38,7 +38,9 @@
 	Interval time.Duration
 	// CacheEvents makes the prober read the engines' cache events.
 	CacheEvents bool
-	Logger      hclog.Logger
+	// Dial makes connections to endpoints.
+	Dial   dials.Func
+	Logger hclog.Logger
 }
 
 const (
@@ -68,7 +70,7 @@
 
 // New returns a prober.
 func New(cfg Config) *Prober {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, DialContext: cfg.Dial}
 	return &Prober{
 		cfg:    cfg,
 		http:   &http.Client{Transport: transport},
@@ -173,8 +175,7 @@
 
 // dial finds out whether a plain service accepts connections.
 func (p *Prober) dial(ctx context.Context, e fleet.Endpoint) error {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", e.Address.String())
+	conn, err := p.cfg.Dial(ctx, "tcp", e.Address.String())
 	if err != nil {
 		return fmt.Errorf("dial %s: %w", e.Name, err)
 	}
@@ -201,9 +202,8 @@
 		LastEvent:    load.LastEvent,
 	}
 	if p.cfg.Health.Reported(e.Name, rep, p.cfg.Clock.Now()) {
-		p.cfg.Logger.Info("endpoint has a new incarnation", "endpoint", e.Name, "incarnation", load.Incarnation)
+		p.cfg.Index.SetIncarnation(e.Name, load.Incarnation)
 	}
-	p.cfg.Index.SetIncarnation(e.Name, load.Incarnation)
 	return load.Incarnation, nil
 }
 
--- a/router/send/attempt.go
+++ b/router/send/attempt.go
@@ -66,6 +66,8 @@
 	e      fleet.Endpoint
 	guard  *guard
 	queued bool
+	// incarnation is the one that the request expects; empty if none is known.
+	incarnation string
 }
 
 func (a *attempt) fail(f fault, err error) error {
@@ -86,6 +88,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
+		a.noteIncarnation(resp.Header)
 		return a.refusal(resp)
 	}
 	if err := a.checkIdentity(resp.Header); err != nil {
@@ -131,8 +134,9 @@
 	h.Set(engine.HeaderAccount, j.Account)
 	h.Set(engine.HeaderPriority, string(j.Rank))
 	h.Set(engine.HeaderWeights, j.Model.WeightsVersion)
-	if inc := a.d.cfg.Health.Get(a.e.Name).Report.Incarnation; inc != "" {
-		h.Set(engine.HeaderIncarnation, inc)
+	a.incarnation = a.d.cfg.Health.Get(a.e.Name).Report.Incarnation
+	if a.incarnation != "" {
+		h.Set(engine.HeaderIncarnation, a.incarnation)
 	}
 	if j.Model.Adapter != "" {
 		h.Set(engine.HeaderAdapter, j.Model.Adapter)
@@ -167,13 +171,22 @@
 	if got := h.Get(engine.HeaderWeights); got != j.Model.WeightsVersion {
 		return a.fail(faultMismatch, fmt.Errorf("engine ran weights %q", got))
 	}
-	want := a.d.cfg.Health.Get(a.e.Name).Report.Incarnation
-	if got := h.Get(engine.HeaderIncarnation); want != "" && got != want {
+	if got := h.Get(engine.HeaderIncarnation); a.incarnation != "" && got != a.incarnation {
+		a.noteIncarnation(h)
 		return a.fail(faultMismatch, fmt.Errorf("engine ran as incarnation %q", got))
 	}
 	return nil
 }
 
+// noteIncarnation takes the incarnation that the engine names itself.
+func (a *attempt) noteIncarnation(h http.Header) {
+	incarnation := h.Get(engine.HeaderIncarnation)
+	if a.d.cfg.Health.Answered(a.e.Name, incarnation) {
+		a.d.cfg.Logger.Info("endpoint has a new incarnation", "endpoint", a.e.Name, "incarnation", incarnation)
+		a.d.cfg.Index.SetIncarnation(a.e.Name, incarnation)
+	}
+}
+
 // learn takes the evidence that the answer gives of the engine's cache.
 func (a *attempt) learn(h http.Header) {
 	cached, err := strconv.Atoi(h.Get(engine.HeaderCachedTokens))
--- a/router/send/send.go
+++ b/router/send/send.go
@@ -18,6 +18,7 @@
 	"cicadastand.dev/core/state/conf"
 	"cicadastand.dev/core/state/fleet"
 	"cicadastand.dev/core/state/index"
+	"cicadastand.dev/core/trans/dials"
 )
 
 // Views gives the configuration in force.
@@ -49,8 +50,10 @@
 	FailureDomain string
 	// StallTimeout is how long an engine may make no progress.
 	StallTimeout time.Duration
-	Logger       hclog.Logger
-	Metrics      *metrics.Set
+	// Dial makes connections to engines.
+	Dial    dials.Func
+	Logger  hclog.Logger
+	Metrics *metrics.Set
 }
 
 const (
@@ -82,7 +85,7 @@
 
 // New returns a dispatcher.
 func New(cfg Config) *Dispatcher {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerEng}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerEng, DialContext: cfg.Dial}
 	return &Dispatcher{
 		cfg:        cfg,
 		http:       &http.Client{Transport: transport},
--- a/stand/engine/answer.go
+++ b/stand/engine/answer.go
@@ -41,10 +41,17 @@
 	tokens  int
 }
 
-// extraEvents are the finish chunk, the usage chunk and the end.
-const extraEvents = 3
+// extraEvents are the finish chunk and the end.
+const extraEvents = 2
 
-func (a *answer) events() int { return a.req.MaxTokens + extraEvents }
+// events returns the number of events, with one more for the usage if it is asked for.
+func (a *answer) events() int {
+	n := a.req.MaxTokens + extraEvents
+	if a.req.IncludeUsage {
+		n++
+	}
+	return n
+}
 
 // event returns the data of the event at a position, counted from 0.
 func (a *answer) event(i int) []byte {
--- a/stand/engine/serve.go
+++ b/stand/engine/serve.go
@@ -71,6 +71,7 @@
 		}
 		j, err := e.accept(req, r.Header)
 		if err != nil {
+			w.Header().Set(engine.HeaderIncarnation, e.currentIncarnation())
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
 		}
@@ -253,6 +254,12 @@
 	e.queuedToks += tokens
 }
 
+func (e *Engine) currentIncarnation() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.incarnation
+}
+
 func (e *Engine) isDown() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- /dev/null
+++ b/suite/calls_test.go
@@ -0,0 +1,273 @@
+package suite
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"encoding/json"
+
+	"cicadastand.dev/core/proto/openai"
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/prefix"
+	"cicadastand.dev/router/node"
+	"cicadastand.dev/stand/engine"
+	"cicadastand.dev/stand/service"
+)
+
+// answer is what a caller got.
+type answer struct {
+	Status int
+	// State is the run state: completed, not-run, outcome-unknown, or lost when
+	// no answer came.
+	State  string
+	Code   string
+	Text   string
+	Source string
+	Cached int
+	Events int
+	Body   string
+	Took   time.Duration
+}
+
+// sendOptions describe a completion.
+type sendOptions struct {
+	To      string
+	Account string
+	Rank    string
+	Prompt  string
+	Pieces  int
+	Tokens  int
+	Stream  bool
+	// From resumes a stream after an event.
+	From int
+	// Deadline is sent as the request's deadline, if set.
+	Deadline string
+}
+
+func (o sendOptions) fullPrompt() string {
+	size := o.Pieces * prefix.PieceBytes
+	return strings.Repeat("shared words ", size/len("shared words ")+1)[:size] + o.Prompt
+}
+
+func (o sendOptions) expected(weights string) string {
+	return engine.Expected("advice", weights, "user\n"+o.fullPrompt()+"\x1e", o.Tokens)
+}
+
+// send asks for a completion and reads the whole answer.
+func (s *site) send(ctx context.Context, o sendOptions) answer {
+	body, _ := json.Marshal(map[string]any{
+		"model":          "advice",
+		"messages":       []map[string]string{{"role": "user", "content": o.fullPrompt()}},
+		"max_tokens":     o.Tokens,
+		"stream":         o.Stream,
+		"stream_options": map[string]bool{"include_usage": o.Stream},
+	})
+	header := http.Header{}
+	if o.Rank != "" {
+		header.Set("Cicada-Rank", o.Rank)
+	}
+	if o.Deadline != "" {
+		header.Set("Cicada-Deadline", o.Deadline)
+	}
+	if o.From > 0 {
+		header.Set("Last-Event-ID", strconv.Itoa(o.From))
+	}
+	resp, a := s.post(ctx, o.To, o.Account, "/v1/chat/completions", string(body), header)
+	if resp == nil {
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		a.readError(resp.Body)
+	case o.Stream:
+		a.readStream(resp.Body, o.From)
+	default:
+		a.readWhole(resp.Body)
+	}
+	return a
+}
+
+func (s *site) post(ctx context.Context, to, account, path, body string, header http.Header) (*http.Response, answer) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.callers[to].String()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, answer{State: "lost", Body: err.Error()}
+	}
+	req.Header = header
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+callerKey(account))
+	start := time.Now()
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return nil, answer{State: "lost", Body: err.Error(), Took: time.Since(start)}
+	}
+	return resp, answer{Status: resp.StatusCode, Source: resp.Header.Get("Cicada-Outcome-Source"), Took: time.Since(start)}
+}
+
+func (a *answer) readError(body io.Reader) {
+	raw, err := io.ReadAll(body)
+	a.Body = string(raw)
+	var e openai.ErrorBody
+	if err != nil || json.Unmarshal(raw, &e) != nil || e.Error == nil {
+		a.State = "lost"
+		return
+	}
+	a.State, a.Code = string(e.Error.RunState), string(e.Error.Code)
+}
+
+func (a *answer) readWhole(body io.Reader) {
+	var whole openai.Answer
+	if err := json.NewDecoder(body).Decode(&whole); err != nil || len(whole.Choices) != 1 {
+		a.State = "lost"
+		return
+	}
+	a.State = "completed"
+	a.Text = whole.Choices[0].Message.Content
+	a.Cached = whole.Usage.PromptDetails.CachedTokens
+}
+
+func (a *answer) readStream(body io.Reader, from int) {
+	c := openai.NewCollector(openai.Chat)
+	a.State, a.Events = "lost", from
+	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: 1 << 20}) {
+		if err != nil {
+			a.Body = err.Error()
+			return
+		}
+		if ev.Type == "error" {
+			a.readError(strings.NewReader(ev.Data))
+			return
+		}
+		if n, err := strconv.Atoi(ev.LastEventID); err != nil || n != a.Events+1 {
+			a.State, a.Body = "disordered", fmt.Sprintf("%q after %d", ev.LastEventID, a.Events)
+			return
+		}
+		a.Events++
+		if ev.Data == openai.Done {
+			a.State = "completed"
+			a.Text = c.Answer().Choices[0].Message.Content
+			a.Cached = c.Answer().Usage.PromptDetails.CachedTokens
+			return
+		}
+		if err := c.Add([]byte(ev.Data)); err != nil {
+			a.Body = err.Error()
+			return
+		}
+	}
+}
+
+// orderOptions describe an order.
+type orderOptions struct {
+	To       string
+	Account  string
+	Service  string
+	Key      string
+	Created  time.Time
+	Body     string
+	First    bool
+	Deadline string
+}
+
+// order places an order.
+func (s *site) order(ctx context.Context, o orderOptions) answer {
+	header := http.Header{}
+	header.Set("Idempotency-Key", o.Key)
+	header.Set("Idempotency-Key-Created", o.Created.UTC().Format(time.RFC3339Nano))
+	if o.First {
+		header.Set("Idempotency-Retry-Count", "0")
+	}
+	if o.Deadline != "" {
+		header.Set("Cicada-Deadline", o.Deadline)
+	}
+	resp, a := s.post(ctx, o.To, o.Account, "/v1/services/"+o.Service+"/orders", o.Body, header)
+	if resp == nil {
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if a.Status >= http.StatusBadRequest {
+		a.readError(resp.Body)
+		return a
+	}
+	raw, err := io.ReadAll(resp.Body)
+	a.Body, a.State = string(raw), "completed"
+	if err != nil {
+		a.State = "lost"
+	}
+	return a
+}
+
+// executions returns how often each key ran over all services.
+func (s *site) executions() (map[string]int, error) {
+	out := make(map[string]int)
+	for i := range s.opts.Services {
+		var body service.ExecutionsBody
+		if err := s.control(fmt.Sprintf("s%d", i+1), http.MethodGet, "/control/executions", nil, &body); err != nil {
+			return nil, err
+		}
+		for _, e := range body.Executions {
+			out[e.Key] += e.Count
+		}
+	}
+	return out, nil
+}
+
+func (s *site) engineStats(name string) (engine.Stats, error) {
+	var st engine.Stats
+	err := s.control(name, http.MethodGet, "/control/stats", nil, &st)
+	return st, err
+}
+
+// fault sets fault switches of a stand-in.
+func (s *site) fault(name, switches string) error {
+	return s.control(name, http.MethodPost, "/control/faults", json.RawMessage(switches), nil)
+}
+
+// publish publishes a document at a router.
+func (s *site) publish(to, key string, base uint64, text string) (conf.Verdict, error) {
+	name := conf.FleetDocument
+	if rest, ok := strings.CutPrefix(text, "account: "); ok {
+		account, _, _ := strings.Cut(rest, "\n")
+		name = conf.ContractDocument(account)
+	}
+	body, err := json.Marshal(map[string]any{"document": name, "base": base, "text": text})
+	if err != nil {
+		return conf.Verdict{}, err
+	}
+	var v conf.Verdict
+	err = s.call(http.MethodPost, "http://"+s.opers[to].String()+"/v1/changes", key, body, &v)
+	return v, err
+}
+
+func (s *site) dump(router string) (node.State, error) {
+	var st node.State
+	err := s.call(http.MethodGet, "http://"+s.opers[router].String()+"/v1/dump", operatorKey, nil, &st)
+	return st, err
+}
+
+func (s *site) configAtLeast(router string, version uint64) error {
+	st, err := s.dump(router)
+	if err != nil {
+		return err
+	}
+	if st.ConfigOffset < version {
+		return fmt.Errorf("%s is at %d, not at %d", router, st.ConfigOffset, version)
+	}
+	return nil
+}
+
+// version returns the version of a document at a router.
+func (s *site) version(router, name string) (uint64, error) {
+	var doc conf.Document
+	err := s.call(http.MethodGet, "http://"+s.opers[router].String()+"/v1/document?name="+name, operatorKey, nil, &doc)
+	return doc.Version, err
+}
+
+var errNoAnswer = errors.New("there is no answer yet")
--- /dev/null
+++ b/suite/rig_test.go
@@ -0,0 +1,451 @@
+package suite
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"cicadastand.dev/core/proto/logapi"
+	"cicadastand.dev/core/state/fleet"
+)
+
+// envProgram tells the test binary to act as one of the programs.
+const envProgram = "CICADA_SUITE_PROGRAM"
+
+const (
+	operatorKey  = "operator-key-of-the-suite"
+	startTimeout = 20 * time.Second
+	stopTimeout  = 30 * time.Second
+)
+
+// siteOptions describe a site.
+type siteOptions struct {
+	Engines  int
+	Routers  int
+	Domains  int
+	Services int
+	// ChecksKeys declares that the services run each key once.
+	ChecksKeys bool
+	// EngineArgs, ServiceArgs and PlatformArgs are added to the command lines.
+	EngineArgs   []string
+	ServiceArgs  []string
+	PlatformArgs []string
+	// RouterYAML is added to the routers' settings.
+	RouterYAML string
+	// FleetYAML is added to the fleet description.
+	FleetYAML string
+}
+
+// proc is one process of a site.
+type proc struct {
+	name string
+	args []string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// site is a whole system of processes with relays between them.
+type site struct {
+	// number sets the addresses of sites that run beside each other apart.
+	number int64
+	dir    string
+	opts   siteOptions
+	cuts   *cutTable
+	relays map[string]*relay
+	// direct holds the address of each process, callers the routers' interfaces.
+	direct  map[string]netip.AddrPort
+	callers map[string]netip.AddrPort
+	opers   map[string]netip.AddrPort
+	mu      sync.Mutex
+	procs   map[string]*proc
+	http    *http.Client
+}
+
+// siteCount numbers the sites of this test process.
+var siteCount atomic.Int64
+
+const maxSites = 250
+
+// freePort returns a port that nothing listens on.
+func freePort(ip string) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = l.Close() }()
+	return netip.ParseAddrPort(l.Addr().String())
+}
+
+// newSite starts a site and publishes its fleet and two contracts, small and large.
+func newSite(dir string, opts siteOptions) (*site, error) {
+	s := &site{
+		number:  siteCount.Add(1)%maxSites + 1,
+		dir:     dir,
+		opts:    opts,
+		cuts:    newCutTable(),
+		relays:  make(map[string]*relay),
+		direct:  make(map[string]netip.AddrPort),
+		callers: make(map[string]netip.AddrPort),
+		opers:   make(map[string]netip.AddrPort),
+		procs:   make(map[string]*proc),
+		http:    &http.Client{Timeout: 60 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	if err := s.build(); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *site) build() error {
+	if err := s.buildStands(); err != nil {
+		return err
+	}
+	if err := s.buildRouters(); err != nil {
+		return err
+	}
+	return s.publishAll()
+}
+
+func (s *site) buildStands() error {
+	if err := s.addStand("platform", "platform", s.opts.PlatformArgs); err != nil {
+		return err
+	}
+	for i := range s.opts.Engines {
+		name := fmt.Sprintf("e%d", i+1)
+		args := append([]string{"-name", name, "-restart-time", "500ms"}, s.opts.EngineArgs...)
+		if err := s.addStand(name, "engine", args); err != nil {
+			return err
+		}
+	}
+	for i := range s.opts.Services {
+		if err := s.addStand(fmt.Sprintf("s%d", i+1), "service", s.opts.ServiceArgs); err != nil {
+			return err
+		}
+	}
+	for name := range s.procs {
+		if err := s.start(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *site) addStand(name, kind string, args []string) error {
+	direct, err := s.addRelay(name, fmt.Sprintf("127.%d.0.%d", s.number, len(s.procs)+1))
+	if err != nil {
+		return err
+	}
+	s.direct[name] = direct
+	s.procs[name] = &proc{name: name, args: append([]string{"stand", kind, "-listen", direct.String()}, args...)}
+	return nil
+}
+
+// addRelay puts a relay before a process and returns where the process listens.
+func (s *site) addRelay(name, directIP string) (netip.AddrPort, error) {
+	direct, err := freePort(directIP)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	listen := netip.MustParseAddrPort("127.0.0.1:0")
+	r, err := newRelay(name, listen, direct, s.cuts)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	s.relays[name] = r
+	return direct, nil
+}
+
+// relayed returns the address under which others reach a process.
+func (s *site) relayed(name string) netip.AddrPort {
+	return netip.MustParseAddrPort(s.relays[name].listener.Addr().String())
+}
+
+func (s *site) domain(i int) string { return fmt.Sprintf("domain-%d", i%s.opts.Domains+1) }
+
+func (s *site) routerNames() []string {
+	out := make([]string, s.opts.Routers)
+	for i := range out {
+		out[i] = fmt.Sprintf("r%d", i+1)
+	}
+	return out
+}
+
+func (s *site) buildRouters() error {
+	for i, name := range s.routerNames() {
+		ip := fmt.Sprintf("127.%d.1.%d", s.number, i+1)
+		s.cuts.name(netip.MustParseAddr(ip), name)
+		direct, err := s.addRelay(name, ip)
+		if err != nil {
+			return err
+		}
+		s.direct[name] = direct
+		if s.callers[name], err = freePort(ip); err != nil {
+			return err
+		}
+		if s.opers[name], err = freePort(ip); err != nil {
+			return err
+		}
+	}
+	var list logapi.HostsBody
+	for i, name := range s.routerNames() {
+		if err := s.writeSettings(i, name); err != nil {
+			return err
+		}
+		list.Hosts = append(list.Hosts, logapi.Host{Name: name, FailureDomain: s.domain(i), Address: s.relayed(name), State: logapi.HostLive})
+		s.procs[name] = &proc{name: name, args: []string{"router", "-settings", s.settingsPath(name)}}
+	}
+	if err := s.control("platform", http.MethodPut, "/control/hosts", list, nil); err != nil {
+		return err
+	}
+	for _, name := range s.routerNames() {
+		if err := s.start(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *site) settingsPath(name string) string { return filepath.Join(s.dir, name+".yaml") }
+
+func (s *site) writeSettings(i int, name string) error {
+	var seeds []string
+	for _, other := range s.routerNames() {
+		if other != name {
+			seeds = append(seeds, s.relayed(other).String())
+		}
+	}
+	text := fmt.Sprintf(`host: {name: %s, failure-domain: %s, source: %s, advertise: "%s"}
+callers: {address: "%s"}
+operators:
+  address: "%s"
+  keys: [{name: ana, hash: %s}, {name: luis, hash: %s}]
+peers: {address: "%s", seeds: [%s], interval: 200ms}
+platform: {address: "%s", timeout: 1s}
+stop: {notice: 300ms, grace: 20s}
+log: {level: debug}
+%s
+`, name, s.domain(i), s.direct[name].Addr(), s.relayed(name), s.callers[name], s.opers[name],
+		fleet.HashKey(operatorKey), fleet.HashKey(operatorKey+"-2"), s.direct[name], quoteAll(seeds), s.relayed("platform"), s.opts.RouterYAML)
+	return os.WriteFile(s.settingsPath(name), []byte(text), 0o600)
+}
+
+func quoteAll(list []string) string {
+	out := make([]string, len(list))
+	for i, v := range list {
+		out[i] = `"` + v + `"`
+	}
+	return strings.Join(out, ", ")
+}
+
+func (s *site) fleetText() string {
+	var b strings.Builder
+	b.WriteString("models: [{name: advice, weights-version: v1}]\n")
+	b.WriteString("services: [{name: shop, repeatable: [{method: GET, path-prefix: /}], status-path: \"/orders/{key}\"}, {name: bare}]\nendpoints:\n")
+	for i := range s.opts.Engines {
+		name := fmt.Sprintf("e%d", i+1)
+		_, _ = fmt.Fprintf(&b, "  - {name: %s, failure-domain: %s, kind: engine, serves: [advice], address: \"%s\", slots: 8, prefill-rate: 100000}\n", name, s.domain(i), s.relayed(name))
+	}
+	for i := range s.opts.Services {
+		name := fmt.Sprintf("s%d", i+1)
+		_, _ = fmt.Fprintf(&b, "  - {name: %s, failure-domain: %s, kind: service, serves: [shop, bare], address: \"%s\", checks-keys: %t}\n", name, s.domain(i), s.relayed(name), s.opts.ChecksKeys)
+	}
+	b.WriteString(s.opts.FleetYAML)
+	return b.String()
+}
+
+func contractText(account, rank string) string {
+	return fmt.Sprintf(`account: %s
+key-hashes: [%s]
+rank: %s
+ranks: [urgent, other]
+limits: {requests-per-second: 5000, tokens-per-second: 100000000, concurrency: 1000}
+urgent: {first-token: 8s, deadline: 15s}
+other: {first-token: 10s, deadline: 20s}
+models: [advice]
+services: [shop, bare]
+`, account, fleet.HashKey(callerKey(account)), rank)
+}
+
+func callerKey(account string) string { return account + "-caller-key" }
+
+func (s *site) publishAll() error {
+	docs := []string{s.fleetText(), contractText("small", "urgent"), contractText("large", "other")}
+	var last uint64
+	for _, text := range docs {
+		v, err := s.publish("r1", operatorKey, 0, text)
+		if err != nil {
+			return err
+		}
+		if v.Outcome != "accepted" {
+			return fmt.Errorf("first publication: %s", v.Reason)
+		}
+		last = v.Version
+	}
+	for _, name := range s.routerNames() {
+		if err := s.eventually(startTimeout, func() error { return s.configAtLeast(name, last) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start runs a process and waits until it answers.
+func (s *site) start(name string) error {
+	s.mu.Lock()
+	p := s.procs[name]
+	s.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(exe, p.args[1:]...)
+	cmd.Env = append(os.Environ(), envProgram+"="+p.args[0])
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd = cmd
+	p.done = make(chan struct{})
+	go p.run(log)
+	return s.eventually(startTimeout, func() error { return s.alive(name) })
+}
+
+func (p *proc) run(log *os.File) {
+	defer close(p.done)
+	defer func() { _ = log.Close() }()
+	p.err = p.cmd.Wait()
+}
+
+func (s *site) alive(name string) error {
+	address, path := s.direct[name], "/control/faults"
+	if op, ok := s.opers[name]; ok {
+		address, path = op, "/livez"
+	}
+	if name == "platform" {
+		path = "/v1/hosts"
+	}
+	resp, err := s.http.Get("http://" + address.String() + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return nil
+}
+
+func (s *site) signal(name string, sig syscall.Signal) error {
+	return s.procs[name].cmd.Process.Signal(sig)
+}
+
+// stop asks a process to end and waits for it to end well.
+func (s *site) stop(name string) error {
+	if err := s.signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	p := s.procs[name]
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(stopTimeout):
+		return fmt.Errorf("%s did not stop in %s", name, stopTimeout)
+	}
+}
+
+func (s *site) kill(name string) error {
+	if err := s.signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-s.procs[name].done
+	return nil
+}
+
+func (s *site) heal() {
+	s.cuts.clear()
+	for _, r := range s.relays {
+		r.reset()
+	}
+}
+
+func (s *site) close() {
+	for _, p := range s.procs {
+		if p.cmd != nil && p.cmd.Process != nil {
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
+	}
+	for _, r := range s.relays {
+		r.close()
+	}
+	s.http.CloseIdleConnections()
+}
+
+// eventually repeats a check until it holds or time is up.
+func (s *site) eventually(within time.Duration, check func() error) error {
+	const pause = 20 * time.Millisecond
+	deadline := time.Now().Add(within)
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("not within %s: %w", within, err)
+		}
+		time.Sleep(pause)
+	}
+}
+
+// control calls the control interface of a stand-in, not through its relay.
+func (s *site) control(name, method, path string, body, into any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	if text, ok := body.(string); ok {
+		raw = []byte(text)
+	}
+	return s.call(method, "http://"+s.direct[name].String()+path, "", raw, into)
+}
+
+func (s *site) call(method, url, key string, body []byte, into any) error {
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var raw bytes.Buffer
+	if _, err := raw.ReadFrom(resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("%s answered %d: %s", url, resp.StatusCode, raw.String())
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(raw.Bytes(), into)
+}
