--- /dev/null
+++ b/core/coord/admit/gate_test.go
@@ -0,0 +1,150 @@
+package admit_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/core/coord/admit"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/fleet"
+)
+
+// gate is a gate whose waiters are known to wait before the test goes on.
+type gate struct {
+	*admit.Gate
+	clock *clock.Fake
+	mu    sync.Mutex
+	order []string
+	done  sync.WaitGroup
+}
+
+func newGate(cfg admit.Config) *gate {
+	g := &gate{clock: clock.NewFake(time.Unix(1000, 0))}
+	cfg.Clock = g.clock
+	g.Gate = admit.New(cfg)
+	return g
+}
+
+func ask(account string, rank fleet.Rank) admit.Ask {
+	return admit.Ask{Account: account, Rank: rank, Weight: 1, Cost: 1, MaxWait: time.Minute}
+}
+
+// enqueue has a request wait, and waits until it does.
+func (g *gate) enqueue(a admit.Ask) {
+	before := g.Stats()
+	g.done.Add(1)
+	go func() {
+		defer g.done.Done()
+		if pass, err := g.Enter(context.Background(), a); err == nil {
+			g.mu.Lock()
+			g.order = append(g.order, a.Account)
+			g.mu.Unlock()
+			pass.Done()
+		}
+	}()
+	for g.Stats() == before {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (g *gate) counts() map[string]int {
+	out := make(map[string]int)
+	for _, a := range g.order[:min(10, len(g.order))] {
+		out[a]++
+	}
+	return out
+}
+
+func TestSmallAccountIsNotHeldUpByALargeOne(t *testing.T) {
+	is := is.New(t)
+	g := newGate(admit.Config{Capacity: 1, MaxQueue: 100})
+	holder, err := g.Enter(context.Background(), ask("holder", fleet.RankOther))
+	is.NoErr(err)
+	for range 30 {
+		g.enqueue(ask("large", fleet.RankOther))
+	}
+	for range 5 {
+		g.enqueue(ask("small", fleet.RankOther))
+	}
+	holder.Done()
+	g.done.Wait()
+	is.Equal(g.counts()["small"], 5) // half of the first ten, though it came last
+}
+
+func TestUrgentFirstWithAFloor(t *testing.T) {
+	is := is.New(t)
+	g := newGate(admit.Config{Capacity: 1, MaxQueue: 100, OtherFloor: 0.2})
+	holder, err := g.Enter(context.Background(), ask("holder", fleet.RankUrgent))
+	is.NoErr(err)
+	for range 20 {
+		g.enqueue(ask("other", fleet.RankOther))
+	}
+	for range 20 {
+		g.enqueue(ask("urgent", fleet.RankUrgent))
+	}
+	holder.Done()
+	g.done.Wait()
+	is.Equal(g.counts(), map[string]int{"urgent": 8, "other": 2})
+}
+
+func TestReserveIsForUrgentWork(t *testing.T) {
+	is := is.New(t)
+	g := newGate(admit.Config{Capacity: 10, UrgentReserve: 0.2, MaxQueue: 100})
+	for range 8 {
+		_, err := g.Enter(context.Background(), ask("other", fleet.RankOther))
+		is.NoErr(err)
+	}
+	g.enqueue(ask("other", fleet.RankOther))
+	_, err := g.Enter(context.Background(), ask("urgent", fleet.RankUrgent))
+	is.NoErr(err)
+	is.Equal(g.Stats().OtherQueued, 1)
+	g.SetCapacity(100)
+	g.done.Wait()
+}
+
+func TestRefusesEarlyWhatCannotMeetItsTarget(t *testing.T) {
+	is := is.New(t)
+	g := newGate(admit.Config{Capacity: 1, MaxQueue: 2})
+	holder, err := g.Enter(context.Background(), ask("a", fleet.RankUrgent))
+	is.NoErr(err)
+	g.enqueue(ask("a", fleet.RankUrgent))
+	g.enqueue(ask("a", fleet.RankUrgent))
+	_, err = g.Enter(context.Background(), ask("a", fleet.RankUrgent))
+	is.True(admit.IsErrOverload(err)) // the queue is full
+	g.clock.Advance(time.Minute)      // and the waiters run out of time
+	g.done.Wait()
+	is.Equal(g.Stats().UrgentQueued, 0)
+	holder.Done()
+	is.Equal(g.Stats().UrgentInside, 0)
+}
+
+func TestCallerThatLeavesGivesUpItsPlace(t *testing.T) {
+	is := is.New(t)
+	g := newGate(admit.Config{Capacity: 1, MaxQueue: 10})
+	holder, err := g.Enter(context.Background(), ask("a", fleet.RankUrgent))
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = g.Enter(ctx, ask("a", fleet.RankUrgent))
+	is.True(errors.Is(err, context.Canceled))
+	is.Equal(g.Stats().UrgentQueued, 0)
+	holder.Done()
+	holder.Done() // a second return has no effect
+	is.Equal(g.Stats().UrgentInside, 0)
+}
+
+func BenchmarkEnter(b *testing.B) {
+	g := admit.New(admit.Config{Clock: clock.New(), Capacity: 1 << 30, MaxQueue: 1000})
+	for b.Loop() {
+		pass, err := g.Enter(context.Background(), ask("a", fleet.RankUrgent))
+		if err != nil {
+			b.Fatal(err)
+		}
+		pass.Done()
+	}
+}
--- /dev/null
+++ b/core/coord/health/health_test.go
@@ -0,0 +1,64 @@
+package health_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/core/coord/health"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestManyFailuresAtOnceSlowEjection(t *testing.T) {
+	is := is.New(t)
+	table := health.New(health.DefaultConfig())
+	for i := range 20 {
+		name := fmt.Sprintf("e%d", i)
+		table.Reported(name, health.Report{Incarnation: "one"}, start)
+		table.Failed(name, start)
+		table.Failed(name, start)
+	}
+	is.Equal(table.Get("e0").State, health.Suspect)
+	is.Equal(len(table.Review(start.Add(5*time.Second))), 5) // a quarter within the window
+	is.Equal(len(table.Review(start.Add(6*time.Second))), 0)
+	is.Equal(len(table.Review(start.Add(16*time.Second))), 5)
+	table.Succeeded("e0")
+	is.Equal(table.Get("e0").State, health.Live)
+}
+
+func TestReplacedIncarnationStaysDead(t *testing.T) {
+	is := is.New(t)
+	table := health.New(health.DefaultConfig())
+	is.True(table.Reported("e", health.Report{Incarnation: "one"}, start))
+	is.True(table.Answered("e", "two"))
+	is.True(!table.Reported("e", health.Report{Incarnation: "one", Leaving: true}, start)) // a report that lags
+	is.Equal(table.Get("e").Report.Incarnation, "two")
+	is.Equal(table.Get("e").State, health.Live)
+}
+
+func TestOwnWorkIsNotCountedTwice(t *testing.T) {
+	is := is.New(t)
+	table := health.New(health.DefaultConfig())
+	table.Sent("e", 1000)
+	table.Reported("e", health.Report{Incarnation: "one"}, start)
+	table.Reported("e", health.Report{Incarnation: "one", Running: 3, QueuedTokens: 1500}, start)
+	s := table.Get("e")
+	is.Equal(s.Running(), 3)
+	is.Equal(s.QueuedTokens(), 1500)
+	table.FirstToken("e", 1000)
+	table.Finished("e", time.Second)
+	is.Equal(table.Get("e").Running(), 2)
+}
+
+func TestLeavingFromAPeerLasts(t *testing.T) {
+	is := is.New(t)
+	table := health.New(health.DefaultConfig())
+	table.MarkLeaving("e", true)
+	table.Succeeded("e")
+	is.Equal(table.Get("e").State, health.Leaving)
+	table.MarkLeaving("e", false)
+	is.Equal(table.Get("e").State, health.Live)
+}
--- /dev/null
+++ b/core/coord/limit/limit_test.go
@@ -0,0 +1,117 @@
+package limit_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+
+	"cicadastand.dev/core/coord/limit"
+	"cicadastand.dev/core/state/fleet"
+)
+
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.Float64Range(0.1, 1e6).Draw(t, "total")
+		demands := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) limit.Demand {
+			return limit.Demand{Host: rapid.String().Draw(t, "host"), Amount: rapid.Float64Range(0, 1e6).Draw(t, "amount")}
+		}), 1, 12).Draw(t, "demands")
+		shares := limit.Split(total, demands)
+		sum := 0.0
+		asked := lo.SumBy(demands, func(d limit.Demand) float64 { return d.Amount })
+		even := total / float64(len(demands))
+		for i, s := range shares {
+			sum += s.Amount
+			if s.Amount < min(demands[i].Amount, even)-1e-6*total {
+				t.Fatalf("host %d asked for %f and got %f, less than an even part", i, demands[i].Amount, s.Amount)
+			}
+			if asked <= total && s.Amount < demands[i].Amount-1e-6*total {
+				t.Fatalf("host %d got less than it asked for although there is enough", i)
+			}
+		}
+		if math.Abs(sum-total) > 1e-6*total {
+			t.Fatalf("shares add up to %f, not %f", sum, total)
+		}
+	})
+}
+
+// TestOvershootIsBounded runs hosts that come, go and are cut off from the
+// keeper, each spending all it may, and checks the bound: never more than twice
+// the limit plus one burst over any second.
+func TestOvershootIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const total, tick = 100.0, 250 * time.Millisecond
+		contract := &fleet.Contract{Account: "a", Limits: fleet.Limits{RequestsPerSecond: total, TokensPerSecond: 1e9, Concurrency: 1e6}}
+		now := time.Unix(1000, 0)
+		keeper := limit.NewKeeper(limit.DefaultKeeperConfig())
+		hosts := make([]*limit.Local, rapid.IntRange(1, 6).Draw(t, "hosts"))
+		for i := range hosts {
+			hosts[i] = limit.NewLocal()
+			hosts[i].SetFallback(1 / float64(len(hosts)))
+		}
+		ticks := rapid.IntRange(20, 80).Draw(t, "ticks")
+		spent := 0.0
+		for n := range ticks {
+			now = now.Add(tick)
+			for i, h := range hosts {
+				asking := rapid.Bool().Draw(t, "asking")
+				for asking && h.Enter(contract, 0, now) == nil {
+					h.Leave("a")
+					spent++
+				}
+				cutOff := rapid.IntRange(0, 3).Draw(t, "cut off") == 0
+				if n%4 == 0 && !cutOff {
+					for _, u := range h.TakeUses(time.Second, now) {
+						h.Grant("a", keeper.Report(fmt.Sprint(i), "a", u.Requests, total, now), now.Add(keeper.Lease()))
+					}
+				}
+			}
+		}
+		span := float64(ticks) * tick.Seconds()
+		if bound := 2*total*span + 2*total; spent > bound {
+			t.Fatalf("%.0f requests in %.1f s, the bound is %.0f", spent, span, bound)
+		}
+	})
+}
+
+func TestLimitsNameTheResource(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := limit.NewLocal()
+	c := &fleet.Contract{Account: "a", Limits: fleet.Limits{RequestsPerSecond: 2, TokensPerSecond: 100, Concurrency: 2}}
+	is.NoErr(l.Enter(c, 50, now))
+	err := l.Enter(c, 60, now)
+	is.Equal(err.(*limit.ErrLimit).Resource, limit.Tokens)
+	is.NoErr(l.Enter(c, 10, now)) // a refusal takes nothing
+	is.Equal(l.Enter(c, 1, now).(*limit.ErrLimit).Resource, limit.Concurrency)
+	l.Leave("a")
+	is.Equal(l.Enter(c, 1, now).(*limit.ErrLimit).Resource, limit.Requests)
+	is.NoErr(l.Enter(c, 1, now.Add(time.Second)))
+	is.Equal(len(l.TakeUses(time.Second, now)), 1)
+}
+
+func BenchmarkEnter(b *testing.B) {
+	l := limit.NewLocal()
+	c := &fleet.Contract{Account: "a", Limits: fleet.Limits{RequestsPerSecond: 1e9, TokensPerSecond: 1e9, Concurrency: 1e6}}
+	now := time.Unix(1000, 0)
+	for b.Loop() {
+		if l.Enter(c, 1, now) == nil {
+			l.Leave("a")
+		}
+		now = now.Add(time.Microsecond)
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	k := limit.NewKeeper(limit.DefaultKeeperConfig())
+	now := time.Unix(1000, 0)
+	i := 0
+	for b.Loop() {
+		k.Report(fmt.Sprint(i%24), "a", 5, 100, now)
+		i++
+	}
+}
--- /dev/null
+++ b/core/coord/poison/poison_test.go
@@ -0,0 +1,35 @@
+package poison_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/core/coord/poison"
+)
+
+func TestSuspectsRunAloneAndAreRefused(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := poison.New(poison.DefaultConfig())
+	bad, innocent := poison.Fingerprint{1}, poison.Fingerprint{2}
+	is.True(table.Enter("e1", bad, now))
+	is.True(table.Enter("e1", innocent, now))
+	table.Leave("e1", bad)
+	table.Leave("e1", innocent)
+	table.Crashed(bad, now)
+	table.Crashed(innocent, now)
+	is.NoErr(table.Check(bad, 2, now))
+	is.True(table.Enter("e2", bad, now))
+	is.True(!table.Enter("e2", innocent, now)) // not beside another suspect
+	is.True(table.Enter("e3", innocent, now))
+	table.Completed(innocent)
+	table.Crashed(bad, now)
+	is.True(table.Check(bad, 2, now) != nil)
+	is.NoErr(table.Check(innocent, 2, now))
+	peer := poison.New(poison.DefaultConfig())
+	peer.Merge(table.Suspects(10, now), now)
+	is.True(peer.Check(bad, 2, now) != nil)
+	is.NoErr(table.Check(bad, 2, now.Add(time.Hour))) // forgotten in time
+}
--- /dev/null
+++ b/core/coord/retry/retry_test.go
@@ -0,0 +1,23 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/core/coord/retry"
+)
+
+func TestRepeatsStayInProportion(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(retry.DefaultConfig())
+	repeats := 0
+	for range 1000 {
+		b.First()
+		for b.Repeat() {
+			repeats++
+		}
+	}
+	is.True(repeats <= 105) // a tenth, and the burst once
+	is.True(repeats >= 99)
+}
--- a/suite/rig_test.go
+++ b/suite/rig_test.go
@@ -51,7 +51,6 @@
 type proc struct {
 	name string
 	args []string
-	log  string
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error
