--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,8 @@
 
 bin/golangci-lint:
 	GOBIN=$(GOBIN) GOFLAGS= GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+mutants:
+	go run ./suite/mutant
+
+.PHONY: mutants
--- a/stand/engine/serve.go
+++ b/stand/engine/serve.go
@@ -181,6 +181,9 @@
 		if cut > 0 && i-j.from >= cut {
 			return errors.New("stream is cut")
 		}
+		if i+1 == e.faults.Get().SkipEvent {
+			continue
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, a.event(i)); err != nil {
 			return fmt.Errorf("write event: %w", err)
 		}
--- a/stand/fault/fault.go
+++ b/stand/fault/fault.go
@@ -25,6 +25,8 @@
 	LoseEvents float64 `json:"lose-events"`
 	// CutStreamsAfter cuts each stream after this many events; 0 for never.
 	CutStreamsAfter int `json:"cut-streams-after"`
+	// SkipEvent leaves the event with this number out of each stream; 0 for none.
+	SkipEvent int `json:"skip-event"`
 	// CrossNext answers the next calls with the identity of another request.
 	CrossNext int `json:"cross-next"`
 	// IgnoreExpectations runs requests whose expected incarnation or weights differ.
--- a/suite/calls_test.go
+++ b/suite/calls_test.go
@@ -2,18 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/tmaxmax/go-sse"
 
-	"encoding/json"
-
 	"cicadastand.dev/core/proto/openai"
 	"cicadastand.dev/core/state/conf"
 	"cicadastand.dev/core/state/prefix"
@@ -271,3 +271,15 @@
 }
 
 var errNoAnswer = errors.New("there is no answer yet")
+
+func decodeExecutions(t *testing.T, resp *http.Response) map[string]int {
+	var body service.ExecutionsBody
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		t.Fatal(err)
+	}
+	out := make(map[string]int)
+	for _, e := range body.Executions {
+		out[e.Key] += e.Count
+	}
+	return out
+}
--- /dev/null
+++ b/suite/mutant/main.go
@@ -0,0 +1,157 @@
+// Command mutant checks the proofs: it takes one mechanism away in a copy of the
+// tree, runs the test that proves it, and expects that test to fail.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"cicadastand.dev/core/trans/setup"
+)
+
+// list is the file that describes the mutants.
+type list struct {
+	Mutants []mutant `yaml:"mutants"`
+}
+
+// mutant is one mechanism taken away.
+type mutant struct {
+	// Name says what is taken away.
+	Name string `yaml:"name"`
+	// File holds the text Old, which New replaces.
+	File string `yaml:"file"`
+	Old  string `yaml:"old"`
+	New  string `yaml:"new"`
+	// Module and Test name the test that has to fail.
+	Module string `yaml:"module"`
+	Test   string `yaml:"test"`
+	// Package is the package within the module.
+	Package string `yaml:"package"`
+}
+
+// Validate checks that every mutant is complete.
+func (l *list) Validate() error {
+	for i, m := range l.Mutants {
+		if m.Name == "" || m.File == "" || m.Old == "" || m.Module == "" || m.Test == "" {
+			return fmt.Errorf("mutants[%d]: name, file, old, module and test must be given", i)
+		}
+	}
+	return nil
+}
+
+const testTimeout = 5 * time.Minute
+
+func main() {
+	path := flag.String("list", "suite/mutants.yaml", "file that describes the mutants")
+	only := flag.String("only", "", "run only mutants whose name holds this text")
+	flag.Parse()
+	if err := run(*path, *only); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(path, only string) error {
+	var l list
+	if err := setup.Load(path, &l); err != nil {
+		return err
+	}
+	survivors := 0
+	for _, m := range l.Mutants {
+		if !strings.Contains(m.Name, only) {
+			continue
+		}
+		caught, err := try(m)
+		if err != nil {
+			return fmt.Errorf("%s: %w", m.Name, err)
+		}
+		verdict := "caught"
+		if !caught {
+			verdict = "SURVIVED"
+			survivors++
+		}
+		fmt.Printf("%-9s %s (%s)\n", verdict, m.Name, m.Test)
+	}
+	if survivors > 0 {
+		return fmt.Errorf("%d mutants survived", survivors)
+	}
+	return nil
+}
+
+// try reports whether the test fails without the mechanism.
+func try(m mutant) (bool, error) {
+	dir, err := os.MkdirTemp("", "mutant")
+	if err != nil {
+		return false, fmt.Errorf("make copy: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if err := copyTree(dir); err != nil {
+		return false, err
+	}
+	if err := mutate(filepath.Join(dir, m.File), m.Old, m.New); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	pkg := "./" + m.Package
+	if err := goCommand(ctx, filepath.Join(dir, m.Module), "vet", pkg); err != nil {
+		return false, fmt.Errorf("the mutant does not build: %w", err)
+	}
+	err = goCommand(ctx, filepath.Join(dir, m.Module), "test", "-count=1", "-run", m.Test, pkg)
+	var failed *exec.ExitError
+	if err != nil && !errors.As(err, &failed) {
+		return false, err
+	}
+	return err != nil, nil
+}
+
+// copyTree copies the workspace without what was built.
+func copyTree(dir string) error {
+	for _, module := range []string{"core", "router", "opctl", "stand", "loads", "suite"} {
+		if err := os.CopyFS(filepath.Join(dir, module), os.DirFS(module)); err != nil {
+			return fmt.Errorf("make copy: %w", err)
+		}
+	}
+	for _, file := range []string{"go.work", "go.work.sum"} {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return fmt.Errorf("read workspace: %w", err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, file), raw, 0o600); err != nil {
+			return fmt.Errorf("write workspace: %w", err)
+		}
+	}
+	return nil
+}
+
+func mutate(path, before, after string) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read file: %w", err)
+	}
+	if strings.Count(string(raw), before) != 1 {
+		return fmt.Errorf("%s holds the text %d times, not once", path, strings.Count(string(raw), before))
+	}
+	text := strings.Replace(string(raw), before, after, 1)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write file: %w", err)
+	}
+	return nil
+}
+
+func goCommand(ctx context.Context, dir string, args ...string) error {
+	cmd := exec.CommandContext(ctx, "go", args...)
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("go %s: %w: %.2000s", strings.Join(args, " "), err, out)
+	}
+	return nil
+}
