Replay workloads through the decisions on models of engines

Change: the line behind the gate is a type of its own that takes the time from outside; cicada-load replay runs the router's own decisions, with lagging reports and several routers, on models of engines; workloads of both deployments.

--- a/core/coord/admit/gate_test.go
+++ b/core/coord/admit/gate_test.go
@@ -23,10 +23,9 @@
 	done  sync.WaitGroup
 }
 
-func newGate(cfg admit.Config) *gate {
+func newGate(line admit.LineConfig) *gate {
 	g := &gate{clock: clock.NewFake(time.Unix(1000, 0))}
-	cfg.Clock = g.clock
-	g.Gate = admit.New(cfg)
+	g.Gate = admit.New(admit.Config{Clock: g.clock, LineConfig: line})
 	return g
 }
 
@@ -62,7 +61,7 @@
 
 func TestSmallAccountIsNotHeldUpByALargeOne(t *testing.T) {
 	is := is.New(t)
-	g := newGate(admit.Config{Capacity: 1, MaxQueue: 100})
+	g := newGate(admit.LineConfig{Capacity: 1, MaxQueue: 100})
 	holder, err := g.Enter(context.Background(), ask("holder", fleet.RankOther))
 	is.NoErr(err)
 	for range 30 {
@@ -78,7 +77,7 @@
 
 func TestUrgentFirstWithAFloor(t *testing.T) {
 	is := is.New(t)
-	g := newGate(admit.Config{Capacity: 1, MaxQueue: 100, OtherFloor: 0.2})
+	g := newGate(admit.LineConfig{Capacity: 1, MaxQueue: 100, OtherFloor: 0.2})
 	holder, err := g.Enter(context.Background(), ask("holder", fleet.RankUrgent))
 	is.NoErr(err)
 	for range 20 {
@@ -94,7 +93,7 @@
 
 func TestReserveIsForUrgentWork(t *testing.T) {
 	is := is.New(t)
-	g := newGate(admit.Config{Capacity: 10, UrgentReserve: 0.2, MaxQueue: 100})
+	g := newGate(admit.LineConfig{Capacity: 10, UrgentReserve: 0.2, MaxQueue: 100})
 	for range 8 {
 		_, err := g.Enter(context.Background(), ask("other", fleet.RankOther))
 		is.NoErr(err)
@@ -109,7 +108,7 @@
 
 func TestRefusesEarlyWhatCannotMeetItsTarget(t *testing.T) {
 	is := is.New(t)
-	g := newGate(admit.Config{Capacity: 1, MaxQueue: 2})
+	g := newGate(admit.LineConfig{Capacity: 1, MaxQueue: 2})
 	holder, err := g.Enter(context.Background(), ask("a", fleet.RankUrgent))
 	is.NoErr(err)
 	g.enqueue(ask("a", fleet.RankUrgent))
@@ -125,7 +124,7 @@
 
 func TestCallerThatLeavesGivesUpItsPlace(t *testing.T) {
 	is := is.New(t)
-	g := newGate(admit.Config{Capacity: 1, MaxQueue: 10})
+	g := newGate(admit.LineConfig{Capacity: 1, MaxQueue: 10})
 	holder, err := g.Enter(context.Background(), ask("a", fleet.RankUrgent))
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -139,7 +138,7 @@
 }
 
 func BenchmarkEnter(b *testing.B) {
-	g := admit.New(admit.Config{Clock: clock.New(), Capacity: 1 << 30, MaxQueue: 1000})
+	g := admit.New(admit.Config{Clock: clock.New(), LineConfig: admit.LineConfig{Capacity: 1 << 30, MaxQueue: 1000}})
 	for b.Loop() {
 		pass, err := g.Enter(context.Background(), ask("a", fleet.RankUrgent))
 		if err != nil {
--- a/core/coord/admit/queue.go
+++ b/core/coord/admit/queue.go
@@ -6,14 +6,13 @@
 	"cicadastand.dev/core/state/fleet"
 )
 
-// waiter is a request that waits for its turn.
-type waiter struct {
-	ask   Ask
-	tag   float64
-	order uint64
-	index int
-	ready chan struct{}
-	// granted is set under the gate's lock together with the closing of ready.
+// Ticket is the place of a request in a line.
+type Ticket struct {
+	ask     Ask
+	tag     float64
+	order   uint64
+	index   int
+	grant   func()
 	granted bool
 }
 
@@ -27,15 +26,15 @@
 
 func newFair() *fair { return &fair{last: make(map[string]float64)} }
 
-func (f *fair) push(w *waiter) {
+func (f *fair) push(w *Ticket) {
 	start := max(f.clock, f.last[w.ask.Account])
 	w.tag = start + w.ask.Cost/w.ask.Weight
 	f.last[w.ask.Account] = w.tag
 	heap.Push(&f.heap, w)
 }
 
-func (f *fair) pop() *waiter {
-	w, _ := heap.Pop(&f.heap).(*waiter)
+func (f *fair) pop() *Ticket {
+	w, _ := heap.Pop(&f.heap).(*Ticket)
 	f.clock = max(f.clock, w.tag-w.ask.Cost/w.ask.Weight)
 	if len(f.heap) == 0 {
 		clear(f.last)
@@ -44,7 +43,7 @@
 	return w
 }
 
-func (f *fair) remove(w *waiter) {
+func (f *fair) remove(w *Ticket) {
 	if w.index >= 0 {
 		heap.Remove(&f.heap, w.index)
 	}
@@ -64,7 +63,7 @@
 	return n
 }
 
-type waiterHeap []*waiter
+type waiterHeap []*Ticket
 
 func (h waiterHeap) Len() int { return len(h) }
 
@@ -82,7 +81,7 @@
 
 // Push appends x; it is for container/heap.
 func (h *waiterHeap) Push(x any) {
-	w, _ := x.(*waiter)
+	w, _ := x.(*Ticket)
 	w.index = len(*h)
 	*h = append(*h, w)
 }
--- a/loads/cli/cli.go
+++ b/loads/cli/cli.go
@@ -26,6 +26,7 @@
 )
 
 const usageText = `usage: cicada-load run [flags]
+       cicada-load replay [flags]
        cicada-load compare SUMMARY...
 `
 
@@ -34,6 +35,9 @@
 	if len(args) > 0 && args[0] == "run" {
 		return run(args[1:], stdout, stderr)
 	}
+	if len(args) > 0 && args[0] == "replay" {
+		return replayAll(args[1:], stdout, stderr)
+	}
 	if len(args) > 1 && args[0] == "compare" {
 		return compare(args[1:], stdout, stderr)
 	}
--- a/loads/plan/plan.go
+++ b/loads/plan/plan.go
@@ -97,13 +97,18 @@
 	Repeat bool
 }
 
+// Defaults returns the values used for fields that a file leaves out.
+func Defaults() Workload {
+	return Workload{Seed: 1, Duration: 10 * time.Second, CacheLife: 20 * time.Second, MaxInFlight: 2000}
+}
+
 // Load reads a workload.
 func Load(path string) (*Workload, error) {
-	w := &Workload{Seed: 1, Duration: 10 * time.Second, CacheLife: 20 * time.Second, MaxInFlight: 2000}
-	if err := setup.Load(path, w); err != nil {
+	w := Defaults()
+	if err := setup.Load(path, &w); err != nil {
 		return nil, fmt.Errorf("load workload: %w", err)
 	}
-	return w, nil
+	return &w, nil
 }
 
 // ErrField reports a value of a workload that is out of range.
--- /dev/null
+++ b/loads/replay/engine.go
@@ -0,0 +1,171 @@
+package replay
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/prefix"
+)
+
+// modelEngine is the model of an engine: slots, a prefill unit that computes one
+// prompt at a time, urgent ones first, and a cache with bounded memory.
+type modelEngine struct {
+	sim         *Sim
+	name        string
+	incarnation int
+	running     int
+	slotQueue   rankQueue
+	prefilling  bool
+	fillQueue   rankQueue
+	queued      int
+	cache       *simplelru.LRU[prefix.Key, time.Duration]
+	inside      map[*call]bool
+	reports     []report
+}
+
+// report is an engine's state at a time.
+type report struct {
+	at          time.Duration
+	incarnation int
+	running     int
+	queued      int
+	tokens      int
+}
+
+// rankQueue holds calls, urgent ones first.
+type rankQueue struct{ urgent, other list.List }
+
+func (q *rankQueue) push(c *call) {
+	if c.req.Stream.Rank == fleet.RankUrgent {
+		q.urgent.PushBack(c)
+		return
+	}
+	q.other.PushBack(c)
+}
+
+func (q *rankQueue) pop() *call {
+	for _, l := range []*list.List{&q.urgent, &q.other} {
+		if front := l.Front(); front != nil {
+			c, _ := l.Remove(front).(*call)
+			return c
+		}
+	}
+	return nil
+}
+
+func (q *rankQueue) len() int { return q.urgent.Len() + q.other.Len() }
+
+func newModelEngine(s *Sim, name string) *modelEngine {
+	e := &modelEngine{sim: s, name: name}
+	e.reset()
+	return e
+}
+
+func (e *modelEngine) reset() {
+	e.incarnation++
+	e.running, e.queued, e.prefilling = 0, 0, false
+	e.slotQueue, e.fillQueue = rankQueue{}, rankQueue{}
+	e.cache, _ = simplelru.NewLRU[prefix.Key, time.Duration](e.sim.cfg.CachePieces, nil)
+	e.inside = make(map[*call]bool)
+}
+
+// crash drops all calls and the cache, and returns the calls that were lost.
+func (e *modelEngine) crash() []*call {
+	lost := make([]*call, 0, len(e.inside))
+	for c := range e.inside {
+		lost = append(lost, c)
+	}
+	e.reset()
+	return lost
+}
+
+func (e *modelEngine) arrive(c *call) {
+	e.inside[c] = true
+	e.queued += c.tokens
+	e.slotQueue.push(c)
+	e.fillSlots()
+}
+
+func (e *modelEngine) fillSlots() {
+	for e.running < e.sim.cfg.Slots && e.slotQueue.len() > 0 {
+		e.running++
+		e.fillQueue.push(e.slotQueue.pop())
+	}
+	e.startPrefill()
+}
+
+func (e *modelEngine) startPrefill() {
+	if e.prefilling || e.fillQueue.len() == 0 {
+		return
+	}
+	c := e.fillQueue.pop()
+	e.prefilling = true
+	c.cached = e.lookup(c.chain)
+	missed := c.tokens - c.cached*prefix.PieceTokens
+	work := time.Duration(float64(missed) / e.sim.cfg.PrefillRate * float64(time.Second))
+	incarnation := e.incarnation
+	e.sim.after(work, func() {
+		if e.incarnation == incarnation {
+			e.prefilled(c)
+		}
+	})
+}
+
+func (e *modelEngine) prefilled(c *call) {
+	e.prefilling = false
+	e.queued -= c.tokens
+	for _, k := range c.chain {
+		e.cache.Add(k, e.sim.now)
+	}
+	e.sim.firstToken(c)
+	incarnation := e.incarnation
+	e.sim.after(time.Duration(c.req.Stream.MaxTokens)*e.sim.cfg.TokenTime, func() {
+		if e.incarnation == incarnation {
+			e.finish(c)
+		}
+	})
+	e.startPrefill()
+}
+
+func (e *modelEngine) finish(c *call) {
+	delete(e.inside, c)
+	e.running--
+	e.sim.finished(c)
+	e.fillSlots()
+}
+
+// lookup returns how many leading pieces are cached, and renews them.
+func (e *modelEngine) lookup(chain []prefix.Key) int {
+	n := e.held(chain)
+	for _, k := range chain[:n] {
+		e.cache.Add(k, e.sim.now)
+	}
+	return n
+}
+
+// held returns how many leading pieces are cached.
+func (e *modelEngine) held(chain []prefix.Key) int {
+	for i, k := range chain {
+		used, ok := e.cache.Peek(k)
+		if !ok || e.sim.now-used > e.sim.cfg.CacheLife {
+			return i
+		}
+	}
+	return len(chain)
+}
+
+// observe notes the engine's state, and returns the newest one that is old enough.
+func (e *modelEngine) observe(lag time.Duration) report {
+	e.reports = append(e.reports, report{
+		at: e.sim.now, incarnation: e.incarnation, running: e.running, queued: e.slotQueue.len(), tokens: e.queued,
+	})
+	chosen := e.reports[0]
+	for len(e.reports) > 1 && e.sim.now-e.reports[1].at >= lag {
+		e.reports = e.reports[1:]
+		chosen = e.reports[0]
+	}
+	return chosen
+}
--- /dev/null
+++ b/loads/replay/replay.go
@@ -0,0 +1,296 @@
+// Package replay runs a workload through the router's own decisions with models
+// of engines, on a clock of its own. It compares policies by counts and by the
+// engines' time, free of the noise of the machine it runs on.
+package replay
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"time"
+
+	"cicadastand.dev/core/coord/route"
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/prefix"
+	"cicadastand.dev/loads/drive"
+	"cicadastand.dev/loads/plan"
+)
+
+// Config describes the models.
+type Config struct {
+	// Engines and Routers are their numbers.
+	Engines int `yaml:"engines"`
+	Routers int `yaml:"routers"`
+	// Policy names the routing policy.
+	Policy string `yaml:"policy"`
+	// Slots, PrefillRate, TokenTime, CachePieces and CacheLife describe each engine.
+	Slots       int           `yaml:"slots"`
+	PrefillRate float64       `yaml:"prefill-rate"`
+	TokenTime   time.Duration `yaml:"token-time"`
+	CachePieces int           `yaml:"cache-pieces"`
+	CacheLife   time.Duration `yaml:"cache-life"`
+	// ReportInterval and ReportLag describe the engines' reports.
+	ReportInterval time.Duration `yaml:"report-interval"`
+	ReportLag      time.Duration `yaml:"report-lag"`
+	// OtherFloor and UrgentReserve set up admission.
+	OtherFloor    float64 `yaml:"other-floor"`
+	UrgentReserve float64 `yaml:"urgent-reserve"`
+	// FirstToken holds the targets of urgent and of other requests.
+	UrgentFirstToken time.Duration `yaml:"urgent-first-token"`
+	OtherFirstToken  time.Duration `yaml:"other-first-token"`
+	// CrashAt and RestartAt, if set, crash one engine and restart all routers.
+	CrashAt   time.Duration `yaml:"crash-at"`
+	RestartAt time.Duration `yaml:"restart-at"`
+}
+
+// DefaultConfig returns the models of the first deployment.
+func DefaultConfig() Config {
+	return Config{
+		Engines:          12,
+		Routers:          6,
+		Policy:           route.NameExpect,
+		Slots:            8,
+		PrefillRate:      20_000,
+		TokenTime:        10 * time.Millisecond,
+		CachePieces:      120,
+		CacheLife:        20 * time.Second,
+		ReportInterval:   250 * time.Millisecond,
+		ReportLag:        200 * time.Millisecond,
+		OtherFloor:       0.1,
+		UrgentReserve:    0.1,
+		UrgentFirstToken: 600 * time.Millisecond,
+		OtherFirstToken:  5 * time.Second,
+	}
+}
+
+// ErrConfig reports a value that is out of range.
+type ErrConfig struct{ Field string }
+
+// Error names the field.
+func (e *ErrConfig) Error() string { return e.Field + " must be above 0" }
+
+// Validate checks the configuration.
+func (c *Config) Validate() error {
+	values := map[string]float64{
+		"engines": float64(c.Engines), "routers": float64(c.Routers), "slots": float64(c.Slots), "prefill-rate": c.PrefillRate,
+		"token-time": float64(c.TokenTime), "cache-pieces": float64(c.CachePieces), "cache-life": float64(c.CacheLife),
+		"report-interval": float64(c.ReportInterval), "urgent-first-token": float64(c.UrgentFirstToken), "other-first-token": float64(c.OtherFirstToken),
+	}
+	for field, v := range values {
+		if v <= 0 {
+			return &ErrConfig{Field: "site." + field}
+		}
+	}
+	if _, err := route.ByName(c.Policy); err != nil {
+		return fmt.Errorf("site.policy: %w", err)
+	}
+	return nil
+}
+
+// Result is what a replay measured beyond its samples.
+type Result struct {
+	Samples []drive.Sample
+	// Computed counts prompt tokens that engines computed; Held those of them
+	// that some live engine held when the request was sent.
+	Computed, Held int
+	// Busy is the share of the engines' slots in use, over the arrivals' span.
+	Busy float64
+	// Sends counts sends of requests to engines.
+	Sends int
+}
+
+// Sim is one replay.
+type Sim struct {
+	cfg     Config
+	now     time.Duration
+	events  eventHeap
+	order   uint64
+	engines []*modelEngine
+	routers []*modelRouter
+	result  Result
+	ended   time.Duration
+	busy    float64
+}
+
+// call is a request on its way.
+type call struct {
+	req     *plan.Request
+	router  *modelRouter
+	chain   []prefix.Key
+	tokens  int
+	engine  int
+	sentAt  time.Duration
+	cached  int
+	started bool
+	// life is the router's life in which the call was sent.
+	life  int
+	first time.Duration
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Duration
+	order uint64
+	do    func()
+}
+
+// Run replays the requests.
+func Run(cfg Config, requests []plan.Request) (Result, error) {
+	s := &Sim{cfg: cfg}
+	for i := range cfg.Engines {
+		s.engines = append(s.engines, newModelEngine(s, fmt.Sprintf("engine-%d", i+1)))
+	}
+	for range cfg.Routers {
+		r, err := newModelRouter(s)
+		if err != nil {
+			return Result{}, err
+		}
+		s.routers = append(s.routers, r)
+	}
+	for i := range requests {
+		r := &requests[i]
+		s.at(r.At, func() { s.arrive(r) })
+		s.ended = max(s.ended, r.At)
+	}
+	s.schedule()
+	for len(s.events) > 0 {
+		e, _ := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.result.Busy = s.busy / (s.ended.Seconds() * float64(cfg.Engines*cfg.Slots))
+	return s.result, nil
+}
+
+func (s *Sim) schedule() {
+	for at := time.Duration(0); at < s.ended; at += s.cfg.ReportInterval {
+		s.at(at, s.report)
+	}
+	if s.cfg.CrashAt > 0 {
+		s.at(s.cfg.CrashAt, s.crash)
+	}
+	if s.cfg.RestartAt > 0 {
+		s.at(s.cfg.RestartAt, s.restart)
+	}
+}
+
+func (s *Sim) at(t time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.events, event{at: t, order: s.order, do: do})
+}
+
+func (s *Sim) after(d time.Duration, do func()) { s.at(s.now+d, do) }
+
+// report gives each router the engines' lagging reports.
+func (s *Sim) report() {
+	for _, e := range s.engines {
+		rep := e.observe(s.cfg.ReportLag)
+		for _, r := range s.routers {
+			r.reported(e, rep)
+		}
+	}
+}
+
+// crash empties the first engine; its calls are sent again.
+func (s *Sim) crash() {
+	for _, c := range s.engines[0].crash() {
+		c.router.lost(c)
+	}
+}
+
+// restart makes all routers forget what they know, as a herd restart does.
+func (s *Sim) restart() {
+	for _, r := range s.routers {
+		r.forget()
+	}
+}
+
+func (s *Sim) arrive(r *plan.Request) {
+	if r.Stream.Kind != plan.Completion {
+		return
+	}
+	text := "user\n" + r.Prompt + "\x1e"
+	scope := prefix.Scope{Account: r.Stream.Account, Model: r.Stream.Model, WeightsVersion: r.Stream.WeightsVersion}
+	c := &call{req: r, router: s.routers[r.Router%len(s.routers)], chain: prefix.Chain(scope, text), tokens: prefix.Tokens(text)}
+	c.router.offer(c)
+}
+
+// note counts what a send makes an engine compute although another holds it.
+func (s *Sim) note(c *call) {
+	best := 0
+	for _, e := range s.engines {
+		best = max(best, e.held(c.chain))
+	}
+	own := s.engines[c.engine].held(c.chain)
+	s.result.Held += (best - own) * prefix.PieceTokens
+	s.result.Sends++
+}
+
+func (s *Sim) firstToken(c *call) {
+	c.started = true
+	if c.first == 0 {
+		c.first = s.now - c.req.At
+	}
+	s.result.Computed += c.tokens - c.cached*prefix.PieceTokens
+	c.router.firstToken(c)
+}
+
+func (s *Sim) finished(c *call) {
+	s.busy += (s.now - c.sentAt).Seconds()
+	c.router.finished(c)
+	s.result.Samples = append(s.result.Samples, drive.Sample{
+		Stream:       c.req.Stream.Name,
+		At:           c.req.At,
+		Outcome:      drive.Right,
+		FirstToken:   c.first,
+		Total:        s.now - c.req.At,
+		PromptTokens: c.tokens,
+		CachedTokens: c.cached * prefix.PieceTokens,
+	})
+}
+
+func (s *Sim) refused(c *call, code string) {
+	s.result.Samples = append(s.result.Samples, drive.Sample{Stream: c.req.Stream.Name, At: c.req.At, Outcome: drive.Refused, Code: code})
+}
+
+// target is the wait that a request may have.
+func (s *Sim) target(r fleet.Rank) time.Duration {
+	if r == fleet.RankUrgent {
+		return s.cfg.UrgentFirstToken
+	}
+	return s.cfg.OtherFirstToken
+}
+
+// clockStart is the time of the routers' tables at the start of a replay.
+var clockStart = time.Unix(1_000_000, 0)
+
+func (s *Sim) clock() time.Time { return clockStart.Add(s.now) }
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at == h[j].at {
+		return h[i].order < h[j].order
+	}
+	return h[i].at < h[j].at
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push appends x; it is for container/heap.
+func (h *eventHeap) Push(x any) {
+	e, _ := x.(event)
+	*h = append(*h, e)
+}
+
+// Pop removes the last event; it is for container/heap.
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func ceil(v float64) int { return max(1, int(math.Ceil(v))) }
--- a/router/pool/pool.go
+++ b/router/pool/pool.go
@@ -58,11 +58,13 @@
 	if !ok {
 		f := p.cfg.Views.View().Fleet
 		g = admit.New(admit.Config{
-			Clock:         p.cfg.Clock,
-			Capacity:      p.capacity(f, model),
-			OtherFloor:    f.OtherFloor,
-			UrgentReserve: p.cfg.UrgentReserve,
-			MaxQueue:      p.cfg.MaxQueue,
+			Clock: p.cfg.Clock,
+			LineConfig: admit.LineConfig{
+				Capacity:      p.capacity(f, model),
+				OtherFloor:    f.OtherFloor,
+				UrgentReserve: p.cfg.UrgentReserve,
+				MaxQueue:      p.cfg.MaxQueue,
+			},
 		})
 		p.gates[model] = g
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -33,8 +33,10 @@
 start shop-1 bin/cicada-stand service -listen 127.0.0.1:7501
 wait_for http://127.0.0.1:7000/v1/hosts
 curl -sf -X PUT --data-binary @samples/hosts.json -o /dev/null http://127.0.0.1:7000/control/hosts
-start router-a bin/cicada-router -settings samples/router-a.yaml
-start router-b bin/cicada-router -settings samples/router-b.yaml
+for h in a b; do
+  { cat "samples/router-$h.yaml"; printf 'routing:\n  policy: %s\n  cache-events: %s\n' "${POLICY:-expect}" "${CACHE_EVENTS:-false}"; } >"out/router-$h.yaml"
+  start "router-$h" bin/cicada-router -settings "out/router-$h.yaml"
+done
 wait_for http://127.0.0.1:7201/livez
 wait_for http://127.0.0.1:7202/livez
 ctl publish -base 0 samples/fleet.yaml
--- a/suite/mutant/main.go
+++ b/suite/mutant/main.go
@@ -63,12 +63,20 @@
 	if err := setup.Load(path, &l); err != nil {
 		return err
 	}
+	base, err := os.MkdirTemp("", "mutant-base")
+	if err != nil {
+		return fmt.Errorf("make copy: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(base) }()
+	if err := copyTree(base); err != nil {
+		return err
+	}
 	survivors := 0
 	for _, m := range l.Mutants {
 		if !strings.Contains(m.Name, only) {
 			continue
 		}
-		caught, err := try(m)
+		caught, err := try(base, m)
 		if err != nil {
 			return fmt.Errorf("%s: %w", m.Name, err)
 		}
@@ -85,15 +93,15 @@
 	return nil
 }
 
-// try reports whether the test fails without the mechanism.
-func try(m mutant) (bool, error) {
+// try reports whether the test fails without the mechanism, in a copy of base.
+func try(base string, m mutant) (bool, error) {
 	dir, err := os.MkdirTemp("", "mutant")
 	if err != nil {
 		return false, fmt.Errorf("make copy: %w", err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	if err := copyTree(dir); err != nil {
-		return false, err
+	if err := os.CopyFS(dir, os.DirFS(base)); err != nil {
+		return false, fmt.Errorf("make copy: %w", err)
 	}
 	if err := mutate(filepath.Join(dir, m.File), m.Old, m.New); err != nil {
 		return false, err
@@ -119,7 +127,11 @@
 			return fmt.Errorf("make copy: %w", err)
 		}
 	}
-	for _, file := range []string{"go.work", "go.work.sum"} {
+	files, err := filepath.Glob("go.work*")
+	if err != nil {
+		return fmt.Errorf("find workspace: %w", err)
+	}
+	for _, file := range files {
 		raw, err := os.ReadFile(file)
 		if err != nil {
 			return fmt.Errorf("read workspace: %w", err)
