Place requests by the first prefix that one engine can carry

The old favour added up over pieces whose owners differ, so a customer had no home. Change: a request is placed by the first piece of its chain that is not too hot for one engine; the belief that its owner holds it is learnt; what is sent counts as held at once; queues count the tokens to be computed, not all tokens; engines import from the store of kept KV cache and export what they computed. Found: pieces that a request was about to bring taught the index that pieces die at once, and lives collapsed to 1 s; a test covers it.

--- a/core/coord/health/health.go
+++ b/core/coord/health/health.go
@@ -62,8 +62,11 @@
 	Seen   time.Time `json:"seen"`
 	// Own counts the requests that this host has at the endpoint.
 	Own int `json:"own"`
-	// OwnTokens counts the prompt tokens of those that have no first token yet.
+	// OwnTokens counts the prompt tokens that the engine is expected to compute for
+	// those of them that have no first token yet.
 	OwnTokens int `json:"own-tokens"`
+	// MissShare is the share of prompt tokens that the engine had to compute lately.
+	MissShare float64 `json:"miss-share"`
 	// Others and OthersTokens are what the last report says beyond this host's own.
 	Others       int           `json:"others"`
 	OthersTokens int           `json:"others-tokens"`
@@ -84,8 +87,9 @@
 	dead         []string
 	suspectSince time.Time
 	leaveMarked  bool
+	ownPrompt    int
 	ownBefore    int
-	tokensBefore int
+	promptBefore int
 }
 
 // Table holds the status of each endpoint. It is safe for concurrent use.
@@ -103,13 +107,15 @@
 
 const (
 	initialServiceTime = 200 * time.Millisecond
-	serviceTimeWeight  = 0.1
+	initialMissShare   = 0.5
+	// averageWeight is the weight of the newest value in a moving average.
+	averageWeight = 0.1
 )
 
 func (t *Table) get(name string) *record {
 	r, ok := t.by[name]
 	if !ok {
-		r = &record{Status: Status{State: Live, ServiceTime: initialServiceTime}}
+		r = &record{Status: Status{State: Live, ServiceTime: initialServiceTime, MissShare: initialMissShare}}
 		t.by[name] = r
 	}
 	return r
@@ -131,9 +137,9 @@
 	r.Report = rep
 	r.Seen = now
 	r.Others = max(0, rep.Running+rep.Queued-r.ownBefore)
-	r.OthersTokens = max(0, rep.QueuedTokens-r.tokensBefore)
+	r.OthersTokens = int(float64(max(0, rep.QueuedTokens-r.promptBefore)) * r.MissShare)
 	r.ownBefore = r.Own
-	r.tokensBefore = r.OwnTokens
+	r.promptBefore = r.ownPrompt
 	r.succeed()
 	return true
 }
@@ -272,20 +278,41 @@
 	return out
 }
 
-// Sent notes that this host sent a request with a prompt of some tokens.
-func (t *Table) Sent(name string, tokens int) {
+// Prompt is the work of a request's prompt, in tokens.
+type Prompt struct {
+	Tokens int
+	// Missed is how many the engine is expected to compute.
+	Missed int
+}
+
+// Sent notes that this host sent a request.
+func (t *Table) Sent(name string, p Prompt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.get(name)
 	r.Own++
-	r.OwnTokens += tokens
+	r.OwnTokens += p.Missed
+	r.ownPrompt += p.Tokens
+}
+
+// Dequeued notes that a request that was sent no longer waits for its prompt.
+func (t *Table) Dequeued(name string, p Prompt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.get(name)
+	r.OwnTokens -= p.Missed
+	r.ownPrompt -= p.Tokens
 }
 
-// FirstToken notes that a request's prompt was computed.
-func (t *Table) FirstToken(name string, tokens int) {
+// Computed notes how many of a prompt's tokens an engine had to compute.
+func (t *Table) Computed(name string, p Prompt) {
+	if p.Tokens <= 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.get(name).OwnTokens -= tokens
+	r := t.get(name)
+	r.MissShare += averageWeight * (float64(p.Missed)/float64(p.Tokens) - r.MissShare)
 }
 
 // Finished notes that a request left the endpoint after a time.
@@ -294,5 +321,5 @@
 	defer t.mu.Unlock()
 	r := t.get(name)
 	r.Own--
-	r.ServiceTime += time.Duration(serviceTimeWeight * float64(took-r.ServiceTime))
+	r.ServiceTime += time.Duration(averageWeight * float64(took-r.ServiceTime))
 }
--- a/core/coord/route/expect.go
+++ b/core/coord/route/expect.go
@@ -7,26 +7,24 @@
 )
 
 // Expect chooses the candidate with the lowest expected time to first token:
-// the work that waits there, a free slot, and the pieces that it lacks. Where
-// nothing is known of a piece, the rendezvous owner of the piece is preferred,
-// so that hosts without a common memory agree.
+// the work that waits there, a free slot, and the pieces that it lacks. The
+// rendezvous owner of the piece by which the request is placed is favoured, so
+// that hosts without a common memory agree.
 type Expect struct {
 	// CrossDomain is the cost of leaving the host's failure domain.
 	CrossDomain time.Duration
-	// OwnerShare is the part of a piece's cost that its owner is favoured by.
-	OwnerShare float64
 	// SlotShare weighs the use of slots below the point where they run out.
 	SlotShare float64
 }
 
 // NewExpect returns the policy with its usual weights.
 func NewExpect() *Expect {
-	return &Expect{CrossDomain: time.Millisecond, OwnerShare: 0.5, SlotShare: 0.1}
+	return &Expect{CrossDomain: time.Millisecond, SlotShare: 0.1}
 }
 
 // Choose returns the candidate with the lowest expected time to first token.
 func (p *Expect) Choose(req Request, candidates []Candidate) int {
-	favour := p.favours(req, candidates)
+	favour := favours(req, candidates)
 	best, at := 0.0, 0
 	for i, c := range candidates {
 		cost := p.Cost(req, c) - favour[i]*pieceCost(c)
@@ -39,8 +37,13 @@
 
 // Cost returns the expected time to first token in seconds.
 func (p *Expect) Cost(req Request, c Candidate) float64 {
-	missed := float64(req.Tokens) - c.Held*prefix.PieceTokens
-	cost := (float64(c.QueuedTokens) + max(missed, 0)) / c.PrefillRate
+	missed := max(float64(req.Tokens)-c.Held*prefix.PieceTokens, 0)
+	cost := float64(c.QueuedTokens) / c.PrefillRate
+	if kept := (req.Kept - c.Held) * prefix.PieceTokens; kept > 0 && req.ImportRate > 0 {
+		missed -= kept
+		cost += kept / req.ImportRate
+	}
+	cost += missed / c.PrefillRate
 	cost += p.slotCost(c)
 	if c.FailureDomain != req.FailureDomain {
 		cost += p.CrossDomain.Seconds()
@@ -58,15 +61,14 @@
 }
 
 // favours returns for each candidate how many pieces beyond those that it is
-// known to hold it would hold if every host placed them by rendezvous.
-func (p *Expect) favours(req Request, candidates []Candidate) []float64 {
+// known to hold it would hold if every host placed requests alike.
+func favours(req Request, candidates []Candidate) []float64 {
 	favour := make([]float64, len(candidates))
-	for i, key := range req.Chain {
-		owner := Owner(key, candidates)
-		if candidates[owner].Held < float64(i+1) {
-			favour[owner] += p.OwnerShare
-		}
+	if len(req.Chain) == 0 {
+		return favour
 	}
+	owner := Owner(req.Chain[req.Place], candidates)
+	favour[owner] = req.OwnerBelief * (float64(len(req.Chain)) - candidates[owner].Held)
 	return favour
 }
 
--- a/core/coord/route/route.go
+++ b/core/coord/route/route.go
@@ -33,8 +33,16 @@
 	Chain []prefix.Key
 	// Tokens is the length of the prompt.
 	Tokens int
+	// Place is the index in Chain of the piece by which the request is placed.
+	Place int
+	// OwnerBelief is the belief that the owner holds a piece of which nothing is known.
+	OwnerBelief float64
 	// FailureDomain is the host's own.
 	FailureDomain string
+	// Kept is the number of leading pieces expected in the store of kept KV cache.
+	Kept float64
+	// ImportRate is the speed of imports in tokens a second; 0 if there is no store.
+	ImportRate float64
 }
 
 // Policy chooses among candidates. It returns the index of the chosen one; there
--- a/core/proto/engine/engine.go
+++ b/core/proto/engine/engine.go
@@ -23,6 +23,13 @@
 	HeaderResumeFrom = "Cicada-Resume-From"
 	// HeaderCachedTokens is the number of prompt tokens that came from the cache.
 	HeaderCachedTokens = "Cicada-Cached-Tokens"
+	// HeaderImport is the number of leading pieces that the engine may import from
+	// the store of kept KV cache instead of computing them.
+	HeaderImport = "Cicada-Import-Pieces"
+	// HeaderExport is the number of leading pieces that the engine should export.
+	HeaderExport = "Cicada-Export-Pieces"
+	// HeaderImportedTokens is the number of prompt tokens that were imported.
+	HeaderImportedTokens = "Cicada-Imported-Tokens"
 	// HeaderFence is the fencing number of an order or of a call that may not be repeated.
 	HeaderFence = "Cicada-Fence"
 )
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -29,6 +29,12 @@
 	OtherFloor float64 `yaml:"other-floor"`
 	// ConcurrentLoads bounds how many engines load weights at once.
 	ConcurrentLoads int `yaml:"concurrent-loads"`
+	// ImportRate is the speed, in tokens a second, at which engines import pieces
+	// from the store of kept KV cache; 0 if there is none.
+	ImportRate float64 `yaml:"import-rate"`
+	// ExportAfter is the number of recent requests with a piece from which on the
+	// piece is exported to the store; 1 exports every computed piece.
+	ExportAfter int `yaml:"export-after"`
 	// CrashLimit is how many engines a request may crash before it is refused.
 	CrashLimit int `yaml:"crash-limit"`
 }
@@ -85,6 +91,7 @@
 const (
 	maxSlots       = 4096
 	maxCrashLimit  = 16
+	maxExportAfter = 100
 	maxLoadsAtOnce = 64
 )
 
@@ -93,6 +100,7 @@
 	return Fleet{
 		OtherFloor:      0.1,
 		ConcurrentLoads: 2,
+		ExportAfter:     1,
 		CrashLimit:      2,
 	}
 }
@@ -163,6 +171,8 @@
 func (f *Fleet) validateScalars(bad *faults) {
 	bad.require(f.OtherFloor >= 0 && f.OtherFloor <= 0.5, "other-floor", "must be between 0 and 0.5")
 	bad.require(f.ConcurrentLoads >= 1 && f.ConcurrentLoads <= maxLoadsAtOnce, "concurrent-loads", "must be between 1 and %d", maxLoadsAtOnce)
+	bad.require(f.ImportRate >= 0 && f.ImportRate <= maxRate, "import-rate", "must be between 0 and %.0f", float64(maxRate))
+	bad.require(f.ExportAfter >= 1 && f.ExportAfter <= maxExportAfter, "export-after", "must be between 1 and %d", maxExportAfter)
 	bad.require(f.CrashLimit >= 1 && f.CrashLimit <= maxCrashLimit, "crash-limit", "must be between 1 and %d", maxCrashLimit)
 }
 
--- a/core/state/index/index.go
+++ b/core/state/index/index.go
@@ -3,6 +3,7 @@
 package index
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -24,19 +25,56 @@
 	return Config{MaxKeys: 50_000, Life: 20 * time.Second, MinLife: time.Second, MaxLife: 2 * time.Minute}
 }
 
-// holder is an endpoint that had a piece at a time.
+// holder is an endpoint that had a piece at a time, or will have it once a
+// request that was sent to it is computed.
 type holder struct {
 	endpoint string
 	seen     time.Time
+	expected time.Time
+}
+
+// latest returns the newest reason to believe that the holder has the piece.
+func (h holder) latest() time.Time {
+	if h.expected.After(h.seen) {
+		return h.expected
+	}
+	return h.seen
 }
 
 // entry lists the holders of one key and links the key into the age order.
 type entry struct {
 	key        prefix.Key
 	holders    []holder
+	demand     decaying
 	prev, next *entry
 }
 
+// decaying is a count whose events fade away over demandSpan.
+type decaying struct {
+	count float64
+	at    time.Time
+}
+
+// demandSpan is the time in which a counted request fades to 1/e.
+const demandSpan = 10 * time.Second
+
+func (d *decaying) value(at time.Time) float64 {
+	return d.count * math.Exp(-max(0, at.Sub(d.at).Seconds())/demandSpan.Seconds())
+}
+
+func (d *decaying) add(at time.Time) {
+	d.count = d.value(at) + 1
+	d.at = at
+}
+
+// Demand is how much the requests of late asked for a piece.
+type Demand struct {
+	// Seen is the number of requests, faded over some seconds.
+	Seen float64
+	// Share is the part of all requests.
+	Share float64
+}
+
 // Index maps keys to holders. It is safe for concurrent use.
 //
 // Lock order: Index.mu is a leaf.
@@ -47,6 +85,7 @@
 	ring         entry
 	incarnations map[string]string
 	lives        map[string]time.Duration
+	total        decaying
 }
 
 // New returns an empty index.
@@ -98,7 +137,21 @@
 	}
 	x.incarnations[endpoint] = incarnation
 	for _, k := range chain {
-		x.touch(k).confirm(endpoint, at)
+		h := x.touch(k).holder(endpoint)
+		if at.After(h.seen) {
+			h.seen = at
+		}
+	}
+	x.shrink()
+}
+
+// Expect records that an endpoint was sent a request with a chain: the next
+// request with the prefix will find it there.
+func (x *Index) Expect(endpoint string, chain []prefix.Key, at time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, k := range chain {
+		x.touch(k).holder(endpoint).expected = at
 	}
 	x.shrink()
 }
@@ -123,6 +176,33 @@
 	return ok
 }
 
+// Repeated returns how many leading pieces at least n requests asked for of late.
+func Repeated(demand []Demand, n int) int {
+	// Half a request allows for what has faded of the earlier ones.
+	enough := float64(n) - 0.5
+	for i, d := range demand {
+		if d.Seen < enough {
+			return i
+		}
+	}
+	return len(demand)
+}
+
+// Ask counts a request for a chain, and returns the demand for each piece.
+func (x *Index) Ask(chain []prefix.Key, at time.Time) []Demand {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.total.add(at)
+	out := make([]Demand, len(chain))
+	for i, k := range chain {
+		e := x.touch(k)
+		e.demand.add(at)
+		out[i] = Demand{Seen: e.demand.count, Share: e.demand.count / x.total.count}
+	}
+	x.shrink()
+	return out
+}
+
 // Held returns for each endpoint how many leading pieces of a chain it is
 // expected to hold at a time. Belief fades over the endpoint's life of pieces.
 func (x *Index) Held(chain []prefix.Key, endpoints []string, at time.Time) []float64 {
@@ -142,13 +222,13 @@
 	defer x.mu.Unlock()
 	life := x.life(endpoint)
 	if cached > 0 {
-		if age, ok := x.age(chain[cached-1], endpoint, at); ok && age > life {
-			life = age
+		if h, ok := x.find(chain[cached-1], endpoint); ok && !h.seen.IsZero() {
+			life = max(life, at.Sub(h.seen))
 		}
 	}
 	if cached < len(chain) {
-		if age, ok := x.age(chain[cached], endpoint, at); ok && age < life {
-			life -= (life - age) / lifeShrinkDivisor
+		if h, ok := x.find(chain[cached], endpoint); ok && !h.seen.IsZero() && at.Sub(h.seen) < life {
+			life -= (life - at.Sub(h.seen)) / lifeShrinkDivisor
 		}
 	}
 	x.lives[endpoint] = min(max(life, x.cfg.MinLife), x.cfg.MaxLife)
@@ -168,28 +248,28 @@
 	return x.cfg.Life
 }
 
-func (x *Index) age(key prefix.Key, endpoint string, at time.Time) (time.Duration, bool) {
+func (x *Index) find(key prefix.Key, endpoint string) (holder, bool) {
 	e, ok := x.entries[key]
 	if !ok {
-		return 0, false
+		return holder{}, false
 	}
 	for _, h := range e.holders {
 		if h.endpoint == endpoint {
-			return at.Sub(h.seen), true
+			return h, true
 		}
 	}
-	return 0, false
+	return holder{}, false
 }
 
 func (x *Index) held(chain []prefix.Key, endpoint string, at time.Time) float64 {
 	life := float64(x.life(endpoint))
 	sum, belief := 0.0, 1.0
 	for _, k := range chain {
-		age, ok := x.age(k, endpoint, at)
+		h, ok := x.find(k, endpoint)
 		if !ok {
 			break
 		}
-		belief = min(belief, fade(float64(age)/life))
+		belief = min(belief, fade(float64(at.Sub(h.latest()))/life))
 		if belief <= 0 {
 			break
 		}
@@ -230,16 +310,15 @@
 	}
 }
 
-func (e *entry) confirm(endpoint string, at time.Time) {
+// holder returns the entry's record of an endpoint, made new if need be.
+func (e *entry) holder(endpoint string) *holder {
 	for i := range e.holders {
 		if e.holders[i].endpoint == endpoint {
-			if at.After(e.holders[i].seen) {
-				e.holders[i].seen = at
-			}
-			return
+			return &e.holders[i]
 		}
 	}
-	e.holders = append(e.holders, holder{endpoint: endpoint, seen: at})
+	e.holders = append(e.holders, holder{endpoint: endpoint})
+	return &e.holders[len(e.holders)-1]
 }
 
 func (e *entry) drop(endpoint string) {
--- a/core/state/index/index_test.go
+++ b/core/state/index/index_test.go
@@ -90,3 +90,14 @@
 		x.Held(all, names, start)
 	}
 }
+
+// TestExpectationTeachesNothing covers a fault that made lives collapse: a piece
+// that a request was about to bring was taken for one that was lost at once.
+func TestExpectationTeachesNothing(t *testing.T) {
+	is := is.New(t)
+	x := index.New(index.DefaultConfig())
+	x.Expect("e", chain, start)
+	is.Equal(held(x, start), 3.0)
+	x.Observe("e", chain, 0, start.Add(time.Millisecond))
+	is.Equal(x.Life("e"), index.DefaultConfig().Life)
+}
--- a/loads/cli/cli.go
+++ b/loads/cli/cli.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return report.Summary{}, err
 	}
-	summary := report.Sum(label, w, requests, result)
+	summary := report.Sum(label, w, requests, 0, result)
 	if folder == "" {
 		return summary, nil
 	}
--- a/loads/cli/replay.go
+++ b/loads/cli/replay.go
@@ -73,7 +73,7 @@
 		if err != nil {
 			return err
 		}
-		s := report.Sum(policy, &f.Workload, requests, drive.Result{Samples: result.Samples})
+		s := report.Sum(policy, &f.Workload, requests, f.Site.WarmUp, drive.Result{Samples: result.Samples})
 		held := 100 * float64(result.Held) / max(1, float64(result.Computed))
 		for _, l := range s.Streams {
 			_, _ = fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t%.1f%%\t%s\t%s\t%s\t%.0f%%\n", policy, l.Name, l.Asked, l.Right, l.Refused,
--- a/loads/replay/engine.go
+++ b/loads/replay/engine.go
@@ -24,6 +24,15 @@
 	cache       *simplelru.LRU[prefix.Key, time.Duration]
 	inside      map[*call]bool
 	reports     []report
+	events      []cacheEvent
+}
+
+// cacheEvent tells that a piece was stored or evicted.
+type cacheEvent struct {
+	at          time.Duration
+	incarnation int
+	key         prefix.Key
+	stored      bool
 }
 
 // report is an engine's state at a time.
@@ -68,7 +77,7 @@
 	e.incarnation++
 	e.running, e.queued, e.prefilling = 0, 0, false
 	e.slotQueue, e.fillQueue = rankQueue{}, rankQueue{}
-	e.cache, _ = simplelru.NewLRU[prefix.Key, time.Duration](e.sim.cfg.CachePieces, nil)
+	e.cache, _ = simplelru.NewLRU[prefix.Key, time.Duration](e.sim.cfg.CachePieces, func(k prefix.Key, _ time.Duration) { e.publish(k, false) })
 	e.inside = make(map[*call]bool)
 }
 
@@ -104,8 +113,12 @@
 	c := e.fillQueue.pop()
 	e.prefilling = true
 	c.cached = e.lookup(c.chain)
-	missed := c.tokens - c.cached*prefix.PieceTokens
+	c.imported = e.sim.importable(c)
+	missed := c.tokens - (c.cached+c.imported)*prefix.PieceTokens
 	work := time.Duration(float64(missed) / e.sim.cfg.PrefillRate * float64(time.Second))
+	if c.imported > 0 {
+		work += time.Duration(float64(c.imported*prefix.PieceTokens) / e.sim.cfg.ImportRate * float64(time.Second))
+	}
 	incarnation := e.incarnation
 	e.sim.after(work, func() {
 		if e.incarnation == incarnation {
@@ -118,8 +131,14 @@
 	e.prefilling = false
 	e.queued -= c.tokens
 	for _, k := range c.chain {
+		if !e.cache.Contains(k) {
+			e.publish(k, true)
+		}
 		e.cache.Add(k, e.sim.now)
 	}
+	for _, k := range c.chain[:c.exports] {
+		e.sim.kept[k] = e.sim.now
+	}
 	e.sim.firstToken(c)
 	incarnation := e.incarnation
 	e.sim.after(time.Duration(c.req.Stream.MaxTokens)*e.sim.cfg.TokenTime, func() {
@@ -157,6 +176,21 @@
 	return len(chain)
 }
 
+func (e *modelEngine) publish(k prefix.Key, stored bool) {
+	e.events = append(e.events, cacheEvent{at: e.sim.now, incarnation: e.incarnation, key: k, stored: stored})
+}
+
+// takeEvents returns the events that are old enough, once.
+func (e *modelEngine) takeEvents(lag time.Duration) []cacheEvent {
+	n := 0
+	for n < len(e.events) && e.sim.now-e.events[n].at >= lag {
+		n++
+	}
+	out := e.events[:n]
+	e.events = e.events[n:]
+	return out
+}
+
 // observe notes the engine's state, and returns the newest one that is old enough.
 func (e *modelEngine) observe(lag time.Duration) report {
 	e.reports = append(e.reports, report{
--- a/loads/replay/replay.go
+++ b/loads/replay/replay.go
@@ -7,10 +7,13 @@
 	"container/heap"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
+	"cicadastand.dev/core/coord/health"
 	"cicadastand.dev/core/coord/route"
 	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/index"
 	"cicadastand.dev/core/state/prefix"
 	"cicadastand.dev/loads/drive"
 	"cicadastand.dev/loads/plan"
@@ -29,15 +32,27 @@
 	TokenTime   time.Duration `yaml:"token-time"`
 	CachePieces int           `yaml:"cache-pieces"`
 	CacheLife   time.Duration `yaml:"cache-life"`
+	// ImportRate is the speed of imports from the store of kept KV cache in tokens
+	// a second; 0 for no store. KeptLife is how long the store keeps a piece.
+	ImportRate float64       `yaml:"import-rate"`
+	KeptLife   time.Duration `yaml:"kept-life"`
+	// ExportAfter is the number of recent requests from which on a piece is exported.
+	ExportAfter int `yaml:"export-after"`
 	// ReportInterval and ReportLag describe the engines' reports.
 	ReportInterval time.Duration `yaml:"report-interval"`
 	ReportLag      time.Duration `yaml:"report-lag"`
+	// CacheEvents makes routers read the engines' cache events, of which the share
+	// LoseEvents is lost.
+	CacheEvents bool    `yaml:"cache-events"`
+	LoseEvents  float64 `yaml:"lose-events"`
 	// OtherFloor and UrgentReserve set up admission.
 	OtherFloor    float64 `yaml:"other-floor"`
 	UrgentReserve float64 `yaml:"urgent-reserve"`
 	// FirstToken holds the targets of urgent and of other requests.
 	UrgentFirstToken time.Duration `yaml:"urgent-first-token"`
 	OtherFirstToken  time.Duration `yaml:"other-first-token"`
+	// WarmUp is the span at the start that is left out of what is measured.
+	WarmUp time.Duration `yaml:"warm-up"`
 	// CrashAt and RestartAt, if set, crash one engine and restart all routers.
 	CrashAt   time.Duration `yaml:"crash-at"`
 	RestartAt time.Duration `yaml:"restart-at"`
@@ -54,6 +69,10 @@
 		TokenTime:        10 * time.Millisecond,
 		CachePieces:      120,
 		CacheLife:        20 * time.Second,
+		ImportRate:       200_000,
+		ExportAfter:      1,
+		KeptLife:         10 * time.Minute,
+		CacheEvents:      true,
 		ReportInterval:   250 * time.Millisecond,
 		ReportLag:        200 * time.Millisecond,
 		OtherFloor:       0.1,
@@ -108,20 +127,31 @@
 	engines []*modelEngine
 	routers []*modelRouter
 	result  Result
+	rng     *rand.Rand
+	kept    map[prefix.Key]time.Duration
 	ended   time.Duration
 	busy    float64
 }
 
 // call is a request on its way.
 type call struct {
-	req     *plan.Request
-	router  *modelRouter
-	chain   []prefix.Key
-	tokens  int
-	engine  int
-	sentAt  time.Duration
-	cached  int
-	started bool
+	req    *plan.Request
+	router *modelRouter
+	chain  []prefix.Key
+	tokens int
+	engine int
+	sentAt time.Duration
+	cached int
+	// imports and exports are the pieces that the engine may import and should export.
+	imports, exports, imported int
+	kept, held                 float64
+	owned                      bool
+	demand                     []index.Demand
+	// prompt is the work that the engine was expected to have.
+	prompt health.Prompt
+	// heldBest is the most leading pieces that any engine held at the send.
+	heldBest int
+	started  bool
 	// life is the router's life in which the call was sent.
 	life  int
 	first time.Duration
@@ -136,7 +166,7 @@
 
 // Run replays the requests.
 func Run(cfg Config, requests []plan.Request) (Result, error) {
-	s := &Sim{cfg: cfg}
+	s := &Sim{cfg: cfg, rng: rand.New(rand.NewPCG(1, 1)), kept: make(map[prefix.Key]time.Duration)}
 	for i := range cfg.Engines {
 		s.engines = append(s.engines, newModelEngine(s, fmt.Sprintf("engine-%d", i+1)))
 	}
@@ -185,8 +215,10 @@
 func (s *Sim) report() {
 	for _, e := range s.engines {
 		rep := e.observe(s.cfg.ReportLag)
+		events := e.takeEvents(s.cfg.ReportLag)
 		for _, r := range s.routers {
 			r.reported(e, rep)
+			r.heard(e, events)
 		}
 	}
 }
@@ -215,29 +247,49 @@
 	c.router.offer(c)
 }
 
-// note counts what a send makes an engine compute although another holds it.
+// note remembers how much of the prompt some engine held at the send.
 func (s *Sim) note(c *call) {
 	best := 0
 	for _, e := range s.engines {
 		best = max(best, e.held(c.chain))
 	}
-	own := s.engines[c.engine].held(c.chain)
-	s.result.Held += (best - own) * prefix.PieceTokens
+	c.heldBest = best
 	s.result.Sends++
 }
 
+// importable returns how many pieces after the cached ones come from the store.
+func (s *Sim) importable(c *call) int {
+	n := c.cached
+	for n < min(c.imports, len(c.chain)) {
+		at, ok := s.kept[c.chain[n]]
+		if !ok || s.now-at > s.cfg.KeptLife {
+			break
+		}
+		n++
+	}
+	return n - c.cached
+}
+
 func (s *Sim) firstToken(c *call) {
 	c.started = true
 	if c.first == 0 {
 		c.first = s.now - c.req.At
 	}
-	s.result.Computed += c.tokens - c.cached*prefix.PieceTokens
+	if c.req.At < s.cfg.WarmUp {
+		c.router.firstToken(c)
+		return
+	}
+	s.result.Computed += c.tokens - (c.cached+c.imported)*prefix.PieceTokens
+	s.result.Held += max(0, c.heldBest-c.cached-c.imported) * prefix.PieceTokens
 	c.router.firstToken(c)
 }
 
 func (s *Sim) finished(c *call) {
 	s.busy += (s.now - c.sentAt).Seconds()
 	c.router.finished(c)
+	if c.req.At < s.cfg.WarmUp {
+		return
+	}
 	s.result.Samples = append(s.result.Samples, drive.Sample{
 		Stream:       c.req.Stream.Name,
 		At:           c.req.At,
@@ -250,6 +302,9 @@
 }
 
 func (s *Sim) refused(c *call, code string) {
+	if c.req.At < s.cfg.WarmUp {
+		return
+	}
 	s.result.Samples = append(s.result.Samples, drive.Sample{Stream: c.req.Stream.Name, At: c.req.At, Outcome: drive.Refused, Code: code})
 }
 
--- a/loads/replay/router.go
+++ b/loads/replay/router.go
@@ -9,6 +9,7 @@
 	"cicadastand.dev/core/coord/route"
 	"cicadastand.dev/core/state/fleet"
 	"cicadastand.dev/core/state/index"
+	"cicadastand.dev/core/state/prefix"
 )
 
 // modelRouter is a router's own decision code with the replay as its shell.
@@ -17,6 +18,7 @@
 	policy route.Policy
 	health *health.Table
 	index  *index.Index
+	prior  *route.Prior
 	line   *admit.Line
 	names  []string
 	// life counts restarts; what an earlier life sent is not known to this one.
@@ -42,12 +44,17 @@
 	return r, nil
 }
 
-const maxQueue = 1000
+const (
+	maxQueue = 1000
+	// keptStore is the name under which the index knows the store of kept KV cache.
+	keptStore = "(kept)"
+)
 
 // forget makes the router know nothing, as after a restart.
 func (r *modelRouter) forget() {
 	r.health = health.New(health.DefaultConfig())
 	r.index = index.New(index.DefaultConfig())
+	r.prior = route.NewPrior()
 	r.life++
 }
 
@@ -62,6 +69,24 @@
 	r.line.SetCapacity(r.capacity())
 }
 
+// heard takes the cache events that were not lost on the way.
+func (r *modelRouter) heard(e *modelEngine, events []cacheEvent) {
+	if !r.sim.cfg.CacheEvents {
+		return
+	}
+	for _, ev := range events {
+		if r.sim.rng.Float64() < r.sim.cfg.LoseEvents {
+			continue
+		}
+		incarnation := fmt.Sprint(ev.incarnation)
+		if ev.stored {
+			r.index.Confirm(e.name, incarnation, []prefix.Key{ev.key}, clockStart.Add(ev.at))
+		} else {
+			r.index.Evict(e.name, incarnation, ev.key)
+		}
+	}
+}
+
 // capacity is what the other routers leave free, and always an even part.
 func (r *modelRouter) capacity() int {
 	total := 0.0
@@ -95,6 +120,13 @@
 }
 
 func (r *modelRouter) send(c *call) {
+	if c.demand == nil {
+		c.demand = r.index.Ask(c.chain, r.sim.clock())
+	}
+	c.kept = 0
+	if r.sim.cfg.ImportRate > 0 {
+		c.kept = r.index.Held(c.chain, []string{keptStore}, r.sim.clock())[0]
+	}
 	held := r.index.Held(c.chain, r.names, r.sim.clock())
 	candidates := make([]route.Candidate, len(r.names))
 	for i, name := range r.names {
@@ -104,23 +136,49 @@
 			Running: s.Running(), QueuedTokens: s.QueuedTokens(), ServiceTime: s.ServiceTime, Held: held[i],
 		}
 	}
-	c.engine = r.policy.Choose(route.Request{Chain: c.chain, Tokens: c.tokens}, candidates)
+	req := route.Request{Chain: c.chain, Tokens: c.tokens, Place: route.Place(c.demand, len(r.names)), OwnerBelief: r.prior.Value(), Kept: c.kept, ImportRate: r.sim.cfg.ImportRate}
+	c.engine = r.policy.Choose(req, candidates)
+	c.owned = len(c.chain) > 0 && route.Owner(c.chain[req.Place], candidates) == c.engine
+	c.held = held[c.engine]
 	c.sentAt = r.sim.now
+	c.imports = 0
+	if r.sim.cfg.ImportRate > 0 {
+		c.imports = len(c.chain)
+	}
+	c.exports = 0
+	if n := index.Repeated(c.demand, r.sim.cfg.ExportAfter); r.sim.cfg.ImportRate > 0 && float64(n) > c.kept {
+		c.exports = n
+	}
 	c.life = r.life
 	r.sim.note(c)
-	r.health.Sent(r.names[c.engine], c.tokens)
+	c.prompt = health.Prompt{Tokens: c.tokens, Missed: max(0, c.tokens-int(max(held[c.engine], c.kept)*prefix.PieceTokens))}
+	r.health.Sent(r.names[c.engine], c.prompt)
+	r.index.Expect(r.names[c.engine], c.chain, r.sim.clock())
 	r.sim.engines[c.engine].arrive(c)
 }
 
 func (r *modelRouter) firstToken(c *call) {
 	name := r.names[c.engine]
 	if c.life == r.life {
-		r.health.FirstToken(name, c.tokens)
+		r.health.Dequeued(name, c.prompt)
 	}
+	r.health.Computed(name, health.Prompt{Tokens: c.tokens, Missed: c.tokens - (c.cached+c.imported)*prefix.PieceTokens})
 	incarnation := fmt.Sprint(r.sim.engines[c.engine].incarnation)
 	if r.health.Answered(name, incarnation) {
 		r.index.SetIncarnation(name, incarnation)
 	}
+	if c.owned {
+		r.prior.Learn(len(c.chain), c.held, c.cached)
+	}
+	if c.imported > 0 {
+		r.index.Confirm(keptStore, "", c.chain[:c.cached+c.imported], r.sim.clock())
+	}
+	if c.kept > float64(c.cached) {
+		r.index.Observe(keptStore, c.chain, c.cached+c.imported, r.sim.clock())
+	}
+	if c.exports > 0 {
+		r.index.Confirm(keptStore, "", c.chain[:c.exports], r.sim.clock())
+	}
 	r.index.Observe(name, c.chain, c.cached, r.sim.clock())
 	r.index.Confirm(name, incarnation, c.chain, r.sim.clock())
 }
@@ -137,7 +195,7 @@
 	name := r.names[c.engine]
 	if c.life == r.life {
 		if !c.started {
-			r.health.FirstToken(name, c.tokens)
+			r.health.Dequeued(name, c.prompt)
 		}
 		r.health.Finished(name, r.sim.now-c.sentAt)
 	}
--- a/loads/report/report.go
+++ b/loads/report/report.go
@@ -66,8 +66,9 @@
 	significant = 3
 )
 
-// Sum sums up a run.
-func Sum(label string, w *plan.Workload, requests []plan.Request, result drive.Result) Summary {
+// Sum sums up a run; requests that arrive in the warm-up are left out of the best
+// possible hit rate, as they are of the samples.
+func Sum(label string, w *plan.Workload, requests []plan.Request, warmUp time.Duration, result drive.Result) Summary {
 	s := Summary{Label: label, Seed: w.Seed, Took: result.Took, Skipped: result.Skipped, Orders: result.Orders}
 	prompt, cached := 0, 0
 	for i := range w.Streams {
@@ -77,7 +78,7 @@
 		cached += c
 	}
 	s.HitRate = share(cached, prompt)
-	s.BestHitRate = bestHitRate(w, requests)
+	s.BestHitRate = bestHitRate(w, requests, warmUp)
 	if prompt > cached {
 		s.Wasted = max(0, s.BestHitRate-s.HitRate) * float64(prompt) / float64(prompt-cached)
 	}
@@ -144,7 +145,7 @@
 
 // bestHitRate is what one engine without a bound on memory would reach on the
 // same requests, if it kept each piece for the cache's life after its last use.
-func bestHitRate(w *plan.Workload, requests []plan.Request) float64 {
+func bestHitRate(w *plan.Workload, requests []plan.Request, warmUp time.Duration) float64 {
 	last := make(map[prefix.Key]time.Duration)
 	prompt, cached := 0, 0
 	for _, r := range requests {
@@ -153,12 +154,15 @@
 		}
 		text := "user\n" + r.Prompt + "\x1e"
 		scope := prefix.Scope{Account: r.Stream.Account, Model: r.Stream.Model, WeightsVersion: r.Stream.WeightsVersion}
-		prompt += prefix.Tokens(text)
+		counted := r.At >= warmUp
+		if counted {
+			prompt += prefix.Tokens(text)
+		}
 		held := true
 		for _, k := range prefix.Chain(scope, text) {
 			at, ok := last[k]
 			held = held && ok && r.At-at <= w.CacheLife
-			if held {
+			if held && counted {
 				cached += prefix.PieceTokens
 			}
 			last[k] = r.At
--- a/router/send/attempt.go
+++ b/router/send/attempt.go
@@ -13,9 +13,11 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"cicadastand.dev/core/coord/health"
 	"cicadastand.dev/core/proto/engine"
 	"cicadastand.dev/core/proto/openai"
 	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/index"
 	"cicadastand.dev/core/state/prefix"
 )
 
@@ -30,7 +32,9 @@
 	r.result.Endpoint = e.Name
 	d.sends.Inc()
 	start := d.cfg.Clock.Now()
-	d.cfg.Health.Sent(e.Name, r.job.tokens)
+	d.cfg.Health.Sent(e.Name, r.prompt)
+	// What is sent counts as held: the next request with the prefix finds it there.
+	d.cfg.Index.Expect(e.Name, r.job.chain, start)
 	a := &attempt{d: d, r: r, e: e, queued: true}
 	defer func() {
 		a.dequeue()
@@ -66,6 +70,8 @@
 	e      fleet.Endpoint
 	guard  *guard
 	queued bool
+	// export is the number of leading pieces that the engine is asked to export.
+	export int
 	// incarnation is the one that the request expects; empty if none is known.
 	incarnation string
 }
@@ -77,7 +83,7 @@
 func (a *attempt) dequeue() {
 	if a.queued {
 		a.queued = false
-		a.d.cfg.Health.FirstToken(a.e.Name, a.r.job.tokens)
+		a.d.cfg.Health.Dequeued(a.e.Name, a.r.prompt)
 	}
 }
 
@@ -141,11 +147,46 @@
 	if j.Model.Adapter != "" {
 		h.Set(engine.HeaderAdapter, j.Model.Adapter)
 	}
+	a.setKeptHeader(h)
 	if a.r.next > 0 {
 		h.Set(engine.HeaderResumeFrom, strconv.Itoa(a.r.next))
 	}
 }
 
+// setKeptHeader lets the engine import what it finds in the store of kept KV
+// cache, since a lookup costs far less than computing, and export the pieces that came up before and are not there yet.
+func (a *attempt) setKeptHeader(h http.Header) {
+	if a.d.cfg.Views.View().Fleet.ImportRate <= 0 {
+		return
+	}
+	h.Set(engine.HeaderImport, strconv.Itoa(len(a.r.job.chain)))
+	a.export = index.Repeated(a.r.job.demand, a.d.cfg.Views.View().Fleet.ExportAfter)
+	if float64(a.export) <= a.r.kept {
+		a.export = 0
+		return
+	}
+	h.Set(engine.HeaderExport, strconv.Itoa(a.export))
+}
+
+// learnKept takes the evidence that the answer gives of the store.
+func (a *attempt) learnKept(cached, imported int) {
+	j := a.r.job
+	now := a.d.cfg.Clock.Now()
+	if a.d.cfg.Views.View().Fleet.ImportRate <= 0 {
+		return
+	}
+	found := min((cached+imported)/prefix.PieceTokens, len(j.chain))
+	if imported > 0 {
+		a.d.cfg.Index.Confirm(keptStore, "", j.chain[:found], now)
+	}
+	if a.r.kept > float64(cached/prefix.PieceTokens) {
+		a.d.cfg.Index.Observe(keptStore, j.chain, found, now)
+	}
+	if a.export > 0 {
+		a.d.cfg.Index.Confirm(keptStore, "", j.chain[:a.export], now)
+	}
+}
+
 func (a *attempt) refusal(resp *http.Response) error {
 	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	err := fmt.Errorf("engine answered %d: %s", resp.StatusCode, bytes.TrimSpace(raw))
@@ -198,8 +239,14 @@
 		a.r.result.PromptTokens = j.tokens
 		a.r.result.CachedTokens = min(cached, j.tokens)
 	}
+	imported, _ := strconv.Atoi(h.Get(engine.HeaderImportedTokens))
+	a.learnKept(cached, imported)
+	a.d.cfg.Health.Computed(a.e.Name, health.Prompt{Tokens: j.tokens, Missed: j.tokens - cached - imported})
 	now := a.d.cfg.Clock.Now()
 	pieces := min(cached/prefix.PieceTokens, len(j.chain))
+	if a.r.owned {
+		a.d.prior.Learn(len(j.chain), a.r.held, pieces)
+	}
 	a.d.cfg.Index.Observe(a.e.Name, j.chain, pieces, now)
 	a.d.cfg.Index.Confirm(a.e.Name, h.Get(engine.HeaderIncarnation), j.chain, now)
 }
--- a/router/send/choose.go
+++ b/router/send/choose.go
@@ -9,8 +9,13 @@
 	"cicadastand.dev/core/coord/route"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/prefix"
 )
 
+// keptStore is the name under which the index knows the store of kept KV cache.
+// It is no valid name of an endpoint.
+const keptStore = "(kept)"
+
 // choose picks the endpoint for the next send and enters the job there. A
 // suspect waits until an endpoint is free of other suspects.
 func (d *Dispatcher) choose(ctx context.Context, r *run) (fleet.Endpoint, error) {
@@ -47,6 +52,11 @@
 	for i, e := range usable {
 		names[i] = e.Name
 	}
+	rate := d.cfg.Views.View().Fleet.ImportRate
+	r.kept = 0
+	if rate > 0 {
+		r.kept = d.cfg.Index.Held(r.job.chain, []string{keptStore}, d.cfg.Clock.Now())[0]
+	}
 	held := d.cfg.Index.Held(r.job.chain, names, d.cfg.Clock.Now())
 	candidates := make([]route.Candidate, len(usable))
 	for i, e := range usable {
@@ -62,8 +72,19 @@
 			Held:          held[i],
 		}
 	}
-	req := route.Request{Chain: r.job.chain, Tokens: r.job.tokens, FailureDomain: d.cfg.FailureDomain}
-	return d.cfg.Policy.Choose(req, candidates)
+	req := route.Request{
+		Chain: r.job.chain, Tokens: r.job.tokens, Place: route.Place(r.job.demand, len(usable)), FailureDomain: d.cfg.FailureDomain, OwnerBelief: d.prior.Value(), Kept: r.kept, ImportRate: rate,
+	}
+	chosen := d.cfg.Policy.Choose(req, candidates)
+	r.held = held[chosen]
+	r.owned = len(req.Chain) > 0 && route.Owner(req.Chain[req.Place], candidates) == chosen
+	r.prompt = health.Prompt{Tokens: r.job.tokens, Missed: missed(r, held[chosen])}
+	return chosen
+}
+
+// missed returns how many tokens an endpoint that holds some pieces has to compute.
+func missed(r *run, held float64) int {
+	return max(0, r.job.tokens-int(max(held, r.kept)*prefix.PieceTokens))
 }
 
 // usable returns the best class of endpoints that is not empty: live ones, then
--- a/router/send/job.go
+++ b/router/send/job.go
@@ -11,6 +11,7 @@
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/proto/openai"
 	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/index"
 	"cicadastand.dev/core/state/prefix"
 )
 
@@ -26,6 +27,7 @@
 
 	body        []byte
 	chain       []prefix.Key
+	demand      []index.Demand
 	tokens      int
 	fingerprint poison.Fingerprint
 }
--- a/router/send/send.go
+++ b/router/send/send.go
@@ -75,6 +75,7 @@
 	http    *http.Client
 	retries *retry.Set
 	resumes *retry.Set
+	prior   *route.Prior
 
 	sends      *metrics.Counter
 	repeats    *metrics.Counter
@@ -91,6 +92,7 @@
 		http:       &http.Client{Transport: transport},
 		retries:    retry.NewSet(retry.DefaultConfig()),
 		resumes:    retry.NewSet(resumeBudget),
+		prior:      route.NewPrior(),
 		sends:      cfg.Metrics.NewCounter("cicada_engine_sends_total"),
 		repeats:    cfg.Metrics.NewCounter("cicada_engine_repeats_total"),
 		mismatches: cfg.Metrics.NewCounter("cicada_engine_mismatches_total"),
@@ -109,6 +111,14 @@
 	result Result
 	// next is the number of events that the sink has.
 	next int
+	// prompt is the work that the chosen endpoint is expected to have.
+	prompt health.Prompt
+	// held is the number of leading pieces that the chosen endpoint is known to
+	// hold, and owned says that it is the owner of the request's prefix.
+	held  float64
+	owned bool
+	// kept is the number of leading pieces expected in the store of kept KV cache.
+	kept float64
 	// tried holds the endpoints that failed since the last progress.
 	tried map[string]bool
 }
@@ -117,6 +127,7 @@
 // poison.ErrRefused, ErrCaller, ErrIncomplete, or an openai.Error of the engine.
 func (d *Dispatcher) Run(ctx context.Context, job *Job, sink Sink) (Result, error) {
 	r := &run{job: job, sink: sink, next: job.Resume, tried: make(map[string]bool)}
+	job.demand = d.cfg.Index.Ask(job.chain, d.cfg.Clock.Now())
 	d.retries.Get(job.Account).First()
 	d.resumes.Get(job.Account).First()
 	var last error
--- a/stand/cli/cli.go
+++ b/stand/cli/cli.go
@@ -97,6 +97,8 @@
 	fs.DurationVar(&cfg.ReportLag, "report-lag", 200*time.Millisecond, "age of load reports and cache events")
 	fs.DurationVar(&cfg.LoadTime, "load-time", 300*time.Millisecond, "time to load weights")
 	fs.DurationVar(&cfg.RestartTime, "restart-time", time.Second, "time away after a crash")
+	fs.TextVar(&cfg.KeptStore, "kept-store", netip.AddrPort{}, "address of the store of kept KV cache")
+	fs.Float64Var(&cfg.ImportRate, "import-rate", 500_000, "tokens imported a second")
 	fs.BoolVar(&cfg.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
 	fs.Uint64Var(&cfg.Seed, "seed", 1, "seed of random faults")
 	if err := fs.Parse(args); err != nil {
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -43,6 +45,10 @@
 	LoadTime time.Duration
 	// RestartTime is how long the engine is away after a crash.
 	RestartTime time.Duration
+	// KeptStore is the store of kept KV cache; the zero address for none.
+	KeptStore netip.AddrPort
+	// ImportRate is the speed of imports in tokens a second.
+	ImportRate float64
 	// ChecksFencing refuses orders with an old fencing number.
 	ChecksFencing bool
 	Seed          uint64
@@ -54,6 +60,7 @@
 	faults  *fault.Board
 	slots   *lane
 	prefill *lane
+	http    *http.Client
 
 	mu          sync.Mutex
 	incarnation string
@@ -76,6 +83,7 @@
 	served      []Served
 	prefilled   int
 	hits        int
+	imported    int
 	violations  int
 }
 
@@ -105,6 +113,8 @@
 	Prefilled int `json:"prefilled-tokens"`
 	// Hits counts prompt tokens that came from the cache.
 	Hits int `json:"cached-tokens"`
+	// Imported counts prompt tokens that came from the store of kept KV cache.
+	Imported int `json:"imported-tokens"`
 	// Violations counts uses of an entry of another account, weights or incarnation.
 	Violations int      `json:"violations"`
 	Served     []Served `json:"served"`
@@ -119,6 +129,7 @@
 		faults:   fault.NewBoard(cfg.Seed),
 		slots:    newLane(cfg.Slots),
 		prefill:  newLane(1),
+		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
 		weights:  make(map[string]string),
 		adapters: make(map[string]string),
 		role:     "serving",
@@ -155,6 +166,7 @@
 		Crashes:     e.crashes,
 		Prefilled:   e.prefilled,
 		Hits:        e.hits,
+		Imported:    e.imported,
 		Violations:  e.violations,
 		Served:      append([]Served{}, e.served...),
 	}
--- a/stand/engine/serve.go
+++ b/stand/engine/serve.go
@@ -40,14 +40,15 @@
 
 // job is one request on its way through the engine.
 type job struct {
-	req    *openai.Request
-	header http.Header
-	who    owner
-	chain  []prefix.Key
-	urgent bool
-	from   int
-	life   context.Context
-	cached int
+	req      *openai.Request
+	header   http.Header
+	who      owner
+	chain    []prefix.Key
+	urgent   bool
+	from     int
+	life     context.Context
+	cached   int
+	imported int
 }
 
 func (e *Engine) serve(kind openai.Kind) http.HandlerFunc {
@@ -151,12 +152,18 @@
 	}
 	defer e.prefill.release()
 	j.cached = e.lookup(j.chain, j.who) * prefix.PieceTokens
-	missed := tokens - j.cached
+	imported, err := e.importKept(ctx, j, j.cached/prefix.PieceTokens)
+	if err != nil {
+		return err
+	}
+	j.imported = imported * prefix.PieceTokens
+	missed := tokens - j.cached - j.imported
 	work := time.Duration(float64(missed) / e.cfg.PrefillRate * float64(time.Second))
 	if err := e.work(ctx, work); err != nil {
 		return err
 	}
 	e.store(j.chain, j.who)
+	e.exportKept(ctx, j)
 	return nil
 }
 
@@ -205,6 +212,7 @@
 	h.Set(engine.HeaderIncarnation, j.who.incarnation)
 	h.Set(engine.HeaderWeights, j.who.weights)
 	h.Set(engine.HeaderCachedTokens, strconv.Itoa(j.cached))
+	h.Set(engine.HeaderImportedTokens, strconv.Itoa(j.imported))
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -236,7 +244,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.hits += j.cached
-	e.prefilled += tokens - j.cached
+	e.imported += j.imported
+	e.prefilled += tokens - j.cached - j.imported
 	e.served = append(e.served, Served{
 		RequestID:    j.header.Get(engine.HeaderRequestID),
 		Attempt:      j.header.Get(engine.HeaderAttempt),
--- a/stand/platform/platform.go
+++ b/stand/platform/platform.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/expirable"
 	"golang.org/x/time/rate"
 
 	"cicadastand.dev/core/proto/logapi"
@@ -34,6 +35,8 @@
 	maxRecordBytes = 1 << 20
 	appendBurst    = 100
 	maxReadWait    = 30 * time.Second
+	keptPieces     = 100_000
+	keptLife       = 10 * time.Minute
 )
 
 // Platform is the stand-in.
@@ -44,6 +47,7 @@
 	mu      sync.Mutex
 	streams map[string]*log
 	lists   []listVersion
+	pieces  *expirable.LRU[string, struct{}]
 }
 
 type log struct {
@@ -64,6 +68,7 @@
 		faults:  fault.NewBoard(cfg.Seed),
 		limiter: rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond), appendBurst),
 		streams: make(map[string]*log),
+		pieces:  expirable.NewLRU[string, struct{}](keptPieces, nil, keptLife),
 	}
 }
 
@@ -76,6 +81,8 @@
 	mux.HandleFunc("POST /v1/streams/{stream}/records", p.appendRecord)
 	mux.HandleFunc("GET /v1/streams/{stream}/records", p.readRecords)
 	mux.HandleFunc("GET /v1/hosts", p.listHosts)
+	mux.HandleFunc("PUT /v1/kept/{key}", p.keep)
+	mux.HandleFunc("GET /v1/kept/{key}", p.kept)
 	mux.HandleFunc("PUT /control/hosts", p.setHosts)
 	mux.Handle("/control/faults", p.faults)
 	mux.HandleFunc("POST /control/trim", p.trimAll)
@@ -204,6 +211,24 @@
 	}
 }
 
+// keep stores a piece of KV cache; the stand-in keeps its key alone.
+func (p *Platform) keep(w http.ResponseWriter, r *http.Request) {
+	if p.faults.Get().Down {
+		fail(w, http.StatusServiceUnavailable, "the store is down", 0)
+		return
+	}
+	p.pieces.Add(r.PathValue("key"), struct{}{})
+	reply(w, struct{}{})
+}
+
+func (p *Platform) kept(w http.ResponseWriter, r *http.Request) {
+	if _, ok := p.pieces.Get(r.PathValue("key")); !ok || p.faults.Get().Down {
+		fail(w, http.StatusNotFound, "the store has no such piece", 0)
+		return
+	}
+	reply(w, struct{}{})
+}
+
 func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) {
 	if p.faults.Get().Down {
 		fail(w, http.StatusServiceUnavailable, "the list is down", 0)
--- a/suite/rig_test.go
+++ b/suite/rig_test.go
@@ -35,6 +35,8 @@
 	Routers  int
 	Domains  int
 	Services int
+	// Kept gives the engines the platform's store of kept KV cache.
+	Kept bool
 	// ChecksKeys declares that the services run each key once.
 	ChecksKeys bool
 	// EngineArgs, ServiceArgs and PlatformArgs are added to the command lines.
@@ -126,6 +128,9 @@
 	for i := range s.opts.Engines {
 		name := fmt.Sprintf("e%d", i+1)
 		args := append([]string{"-name", name, "-restart-time", "500ms"}, s.opts.EngineArgs...)
+		if s.opts.Kept {
+			args = append(args, "-kept-store", s.direct["platform"].String())
+		}
 		if err := s.addStand(name, "engine", args); err != nil {
 			return err
 		}
