Share engines among hosts by even parts, on reports of known age

Change: a host takes an even part of what is free and gives way beyond its even part; a report is set against the host's own work at the time that it is about; reports come each 100 ms; the wait of urgent work is judged by all places that become free; the owner of a prefix is favoured only by what it saves.

--- a/core/coord/admit/line.go
+++ b/core/coord/admit/line.go
@@ -95,9 +95,14 @@
 	}
 }
 
-// DrainTime estimates how long n requests of a rank take to be admitted.
+// DrainTime estimates how long n requests of a rank take to be admitted. Urgent
+// work takes every place that becomes free but for the floor of the other work.
 func (l *Line) DrainTime(rank fleet.Rank, n int, now time.Time) time.Duration {
 	perSecond := l.rates.of(rank).perSecond(now)
+	if rank == fleet.RankUrgent {
+		perSecond += l.rates.of(fleet.RankOther).perSecond(now)
+		perSecond *= 1 - l.cfg.OtherFloor
+	}
 	if perSecond <= 0 {
 		return 0
 	}
--- /dev/null
+++ b/core/coord/admit/part_test.go
@@ -0,0 +1,43 @@
+package admit_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cicadastand.dev/core/coord/admit"
+)
+
+// TestPartsConverge lets hosts with any demand follow their parts round by round:
+// they fill the engine and never pass its slots by more than the rounding.
+func TestPartsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := float64(rapid.IntRange(1, 64).Draw(t, "slots"))
+		hosts := rapid.IntRange(1, 12).Draw(t, "hosts")
+		demand := rapid.SliceOfN(rapid.Float64Range(0, 100), hosts, hosts).Draw(t, "demand")
+		own := rapid.SliceOfN(rapid.Float64Range(0, 20), hosts, hosts).Draw(t, "own")
+		asked := 0.0
+		for _, d := range demand {
+			asked += d
+		}
+		for range 200 {
+			total := sum(own)
+			next := make([]float64, hosts)
+			for i := range own {
+				next[i] = min(demand[i], admit.Part(slots, own[i], total-own[i], hosts))
+			}
+			own = next
+		}
+		if total := sum(own); total > slots*1.05 || total < min(slots, asked)*0.9 {
+			t.Fatalf("%v asked for %v and hold %v of %v slots", hosts, demand, own, slots)
+		}
+	})
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
--- a/core/coord/health/health.go
+++ b/core/coord/health/health.go
@@ -34,11 +34,13 @@
 	// vanish at the same moment are more likely cut off than dead.
 	MaxEjectedShare float64
 	EjectWindow     time.Duration
+	// ReportLag is how old an endpoint's report is when it arrives.
+	ReportLag time.Duration
 }
 
 // DefaultConfig returns the usual bounds.
 func DefaultConfig() Config {
-	return Config{SuspectAfter: 2, EjectAfter: 3 * time.Second, MaxEjectedShare: 0.25, EjectWindow: 10 * time.Second}
+	return Config{SuspectAfter: 2, EjectAfter: 3 * time.Second, MaxEjectedShare: 0.25, EjectWindow: 10 * time.Second, ReportLag: 200 * time.Millisecond}
 }
 
 // Report is an endpoint's report on itself.
@@ -68,10 +70,12 @@
 	// MissShare is the share of prompt tokens that the engine had to compute lately.
 	MissShare float64 `json:"miss-share"`
 	// Others and OthersTokens are what the last report says beyond this host's own.
-	Others       int           `json:"others"`
-	OthersTokens int           `json:"others-tokens"`
-	Failures     int           `json:"failures"`
-	ServiceTime  time.Duration `json:"service-time"`
+	Others       int `json:"others"`
+	OthersTokens int `json:"others-tokens"`
+	// OwnReported is the number of this host's requests that the last report includes.
+	OwnReported int           `json:"own-reported"`
+	Failures    int           `json:"failures"`
+	ServiceTime time.Duration `json:"service-time"`
 }
 
 // Running returns the requests at the endpoint, as far as known.
@@ -88,8 +92,8 @@
 	suspectSince time.Time
 	leaveMarked  bool
 	ownPrompt    int
-	ownBefore    int
-	promptBefore int
+	// past holds this host's own work at the times of the latest reports.
+	past []ownWork
 }
 
 // Table holds the status of each endpoint. It is safe for concurrent use.
@@ -121,6 +125,27 @@
 	return r
 }
 
+// ownWork is this host's work at an endpoint at a time.
+type ownWork struct {
+	at       time.Time
+	requests int
+	prompt   int
+}
+
+// pastKept bounds the times for which a host's own work is remembered.
+const pastKept = 32
+
+// workAt notes this host's own work now, and returns that of the time which a
+// report that arrives now is about.
+func (r *record) workAt(now time.Time, lag time.Duration) ownWork {
+	r.past = append(r.past, ownWork{at: now, requests: r.Own, prompt: r.ownPrompt})
+	r.past = r.past[max(0, len(r.past)-pastKept):]
+	for len(r.past) > 1 && now.Sub(r.past[1].at) >= lag {
+		r.past = r.past[1:]
+	}
+	return r.past[0]
+}
+
 // deadKept bounds the replaced incarnations that are remembered for an endpoint.
 const deadKept = 8
 
@@ -136,10 +161,10 @@
 	r.replace(rep.Incarnation)
 	r.Report = rep
 	r.Seen = now
-	r.Others = max(0, rep.Running+rep.Queued-r.ownBefore)
-	r.OthersTokens = int(float64(max(0, rep.QueuedTokens-r.promptBefore)) * r.MissShare)
-	r.ownBefore = r.Own
-	r.promptBefore = r.ownPrompt
+	then := r.workAt(now, t.cfg.ReportLag)
+	r.OwnReported = min(then.requests, rep.Running+rep.Queued)
+	r.Others = rep.Running + rep.Queued - r.OwnReported
+	r.OthersTokens = int(float64(max(0, rep.QueuedTokens-then.prompt)) * r.MissShare)
 	r.succeed()
 	return true
 }
--- a/core/coord/member/member.go
+++ b/core/coord/member/member.go
@@ -102,12 +102,17 @@
 	}
 }
 
-// Learn adds hosts that a peer told of.
+// Learn takes what a peer told of other hosts: that they exist, and when they
+// were last heard of.
 func (t *Table) Learn(hosts []Host, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, h := range hosts {
-		t.learn(h, now)
+	for _, told := range hosts {
+		h := t.learn(told, now)
+		if told.Heard.After(h.Heard) && !told.Heard.After(now) {
+			h.Heard = told.Heard
+			h.leaving = told.State == Leaving
+		}
 	}
 }
 
@@ -184,15 +189,33 @@
 			continue
 		}
 		counted++
-		if now.Sub(t.lastSign(h)) >= t.cfg.SilentAfter {
+		if now.Sub(t.lastSign(h)) >= t.spread(t.cfg.SilentAfter) {
 			quiet++
 		}
 	}
-	goneAfter = t.cfg.GoneAfter
+	silentAfter = t.spread(t.cfg.SilentAfter)
+	goneAfter = t.spread(t.cfg.GoneAfter)
 	if quiet > 1 && float64(quiet) >= t.cfg.MassShare*float64(counted) {
 		goneAfter *= time.Duration(t.cfg.MassFactor)
 	}
-	return t.cfg.SilentAfter, goneAfter
+	return silentAfter, goneAfter
+}
+
+// spread stretches a time by the number of exchanges that it takes to hear of all
+// hosts, since a digest holds a sample of them.
+func (t *Table) spread(d time.Duration) time.Duration {
+	return d * time.Duration(1+len(t.hosts)/SampleSize)
+}
+
+// SampleSize is the number of other hosts that one digest tells of.
+const SampleSize = 32
+
+// Sample returns up to SampleSize of the other hosts that are not gone, chosen by
+// shuffle, for a digest.
+func (t *Table) Sample(shuffle func(n int, swap func(i, j int))) []Host {
+	all := t.Find(FindOptions{WithoutSelf: true, States: []State{Live, Silent, Leaving}})
+	shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), SampleSize)]
 }
 
 // FindOptions selects hosts.
--- a/core/coord/member/member_test.go
+++ b/core/coord/member/member_test.go
@@ -64,3 +64,18 @@
 	m.Review(start.Add(time.Second))
 	is.Equal(state(m, "h1"), member.Leaving)
 }
+
+func TestHostsAreHeardOfThroughOthers(t *testing.T) {
+	is := is.New(t)
+	m := table(4)
+	now := start.Add(7 * time.Second)
+	m.Learn([]member.Host{{Name: "h0", State: member.Live, Heard: now.Add(-time.Second)}, {Name: "h1", State: member.Leaving, Heard: now}}, now)
+	m.Heard(member.Host{Name: "h2"}, false, now)
+	m.Review(now)
+	is.Equal(state(m, "h0"), member.Live)
+	is.Equal(state(m, "h1"), member.Leaving)
+	is.Equal(state(m, "h3"), member.Gone) // nobody has heard of it
+	m.Learn([]member.Host{{Name: "h3", State: member.Live, Heard: now.Add(time.Hour)}}, now)
+	m.Review(now)
+	is.Equal(state(m, "h3"), member.Gone) // a word from the future is not believed
+}
--- a/core/coord/route/expect.go
+++ b/core/coord/route/expect.go
@@ -24,10 +24,17 @@
 
 // Choose returns the candidate with the lowest expected time to first token.
 func (p *Expect) Choose(req Request, candidates []Candidate) int {
-	favour := favours(req, candidates)
+	owner := -1
+	if len(req.Chain) > 0 {
+		owner = Owner(req.Chain[req.Place], candidates)
+	}
 	best, at := 0.0, 0
 	for i, c := range candidates {
-		cost := p.Cost(req, c) - favour[i]*pieceCost(c)
+		fill := fillCost(req, c)
+		if i == owner {
+			fill *= 1 - req.OwnerBelief
+		}
+		cost := fill + p.waitCost(req, c)
 		if i == 0 || cost < best {
 			best, at = cost, i
 		}
@@ -35,16 +42,20 @@
 	return at
 }
 
-// Cost returns the expected time to first token in seconds.
-func (p *Expect) Cost(req Request, c Candidate) float64 {
+// fillCost returns the seconds that the engine takes for the part of the prompt
+// that it lacks: what is kept in the store is imported, the rest computed.
+func fillCost(req Request, c Candidate) float64 {
 	missed := max(float64(req.Tokens)-c.Held*prefix.PieceTokens, 0)
-	cost := float64(c.QueuedTokens) / c.PrefillRate
-	if kept := (req.Kept - c.Held) * prefix.PieceTokens; kept > 0 && req.ImportRate > 0 {
-		missed -= kept
-		cost += kept / req.ImportRate
+	kept := (req.Kept - c.Held) * prefix.PieceTokens
+	if kept <= 0 || req.ImportRate <= 0 {
+		return missed / c.PrefillRate
 	}
-	cost += missed / c.PrefillRate
-	cost += p.slotCost(c)
+	return kept/req.ImportRate + (missed-kept)/c.PrefillRate
+}
+
+// waitCost returns the seconds until the engine can begin with the prompt.
+func (p *Expect) waitCost(req Request, c Candidate) float64 {
+	cost := float64(c.QueuedTokens)/c.PrefillRate + p.slotCost(c)
 	if c.FailureDomain != req.FailureDomain {
 		cost += p.CrossDomain.Seconds()
 	}
@@ -59,17 +70,3 @@
 	}
 	return p.SlotShare * each * float64(c.Running) / float64(c.Slots)
 }
-
-// favours returns for each candidate how many pieces beyond those that it is
-// known to hold it would hold if every host placed requests alike.
-func favours(req Request, candidates []Candidate) []float64 {
-	favour := make([]float64, len(candidates))
-	if len(req.Chain) == 0 {
-		return favour
-	}
-	owner := Owner(req.Chain[req.Place], candidates)
-	favour[owner] = req.OwnerBelief * (float64(len(req.Chain)) - candidates[owner].Held)
-	return favour
-}
-
-func pieceCost(c Candidate) float64 { return prefix.PieceTokens / c.PrefillRate }
--- a/core/state/conf/snapshot.go
+++ b/core/state/conf/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
 	"time"
 
 	"cicadastand.dev/core/state/fleet"
@@ -96,12 +95,8 @@
 
 // View returns a picture of the current state that later records don't change.
 func (s *State) View() *View {
-	return &View{
-		Offset:    s.offset,
-		Fleet:     s.fleet,
-		contracts: maps.Clone(s.contracts),
-		byHash:    maps.Clone(s.byHash),
-	}
+	s.shared = true
+	return &View{Offset: s.offset, Fleet: s.fleet, contracts: s.contracts, byHash: s.byHash}
 }
 
 // Contract returns the contract of an account.
--- a/core/state/conf/state.go
+++ b/core/state/conf/state.go
@@ -6,6 +6,7 @@
 package conf
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -56,8 +57,10 @@
 	fleet     *fleet.Fleet
 	contracts map[string]*fleet.Contract
 	byHash    map[string]string
-	history   []Verdict
-	lastBeat  time.Time
+	// shared says that a view holds the maps, so they must be copied before a change.
+	shared   bool
+	history  []Verdict
+	lastBeat time.Time
 }
 
 // New returns the state before the first record.
@@ -199,6 +202,11 @@
 }
 
 func (s *State) install(doc Document, p parsed, remove bool) {
+	if s.shared {
+		s.contracts = maps.Clone(s.contracts)
+		s.byHash = maps.Clone(s.byHash)
+		s.shared = false
+	}
 	account := strings.TrimPrefix(doc.Name, contractPrefix)
 	if old, ok := s.contracts[account]; ok && doc.Name != FleetDocument {
 		for _, h := range old.KeyHashes {
--- a/loads/replay/replay.go
+++ b/loads/replay/replay.go
@@ -73,7 +73,7 @@
 		ExportAfter:      1,
 		KeptLife:         10 * time.Minute,
 		CacheEvents:      true,
-		ReportInterval:   250 * time.Millisecond,
+		ReportInterval:   100 * time.Millisecond,
 		ReportLag:        200 * time.Millisecond,
 		OtherFloor:       0.1,
 		UrgentReserve:    0.1,
@@ -245,7 +245,7 @@
 	}
 	text := "user\n" + r.Prompt + "\x1e"
 	scope := prefix.Scope{Account: r.Stream.Account, Model: r.Stream.Model, WeightsVersion: r.Stream.WeightsVersion}
-	c := &call{req: r, router: s.routers[r.Router%len(s.routers)], chain: prefix.Chain(scope, text), tokens: prefix.Tokens(text)}
+	c := &call{req: r, router: s.routers[r.Number%len(s.routers)], chain: prefix.Chain(scope, text), tokens: prefix.Tokens(text)}
 	c.router.offer(c)
 }
 
--- a/loads/replay/router.go
+++ b/loads/replay/router.go
@@ -53,7 +53,9 @@
 
 // forget makes the router know nothing, as after a restart.
 func (r *modelRouter) forget() {
-	r.health = health.New(health.DefaultConfig())
+	cfg := health.DefaultConfig()
+	cfg.ReportLag = r.sim.cfg.ReportLag
+	r.health = health.New(cfg)
 	r.index = index.New(index.DefaultConfig())
 	r.prior = route.NewPrior()
 	r.lag = &admit.Lag{}
@@ -89,12 +91,13 @@
 	}
 }
 
-// capacity is what the other routers leave free, and always an even part.
+// capacity is how many requests the router may have at the engines.
 func (r *modelRouter) capacity() int {
 	total := 0.0
 	slots := float64(r.sim.cfg.Slots)
 	for _, name := range r.names {
-		total += max(slots-float64(r.health.Get(name).Others), slots/float64(r.sim.cfg.Routers))
+		s := r.health.Get(name)
+		total += admit.Part(slots, float64(s.OwnReported), float64(s.Others), r.sim.cfg.Routers)
 	}
 	return ceil(total)
 }
--- a/router/node/parts.go
+++ b/router/node/parts.go
@@ -46,7 +46,9 @@
 	s := n.settings
 	do.ProvideValue(n.scope, metrics.NewSet())
 	do.ProvideValue(n.scope, follow.NewStore())
-	do.ProvideValue(n.scope, health.New(health.DefaultConfig()))
+	healthConfig := health.DefaultConfig()
+	healthConfig.ReportLag = s.Routing.ReportLag
+	do.ProvideValue(n.scope, health.New(healthConfig))
 	do.ProvideValue(n.scope, member.New(member.DefaultConfig(n.self())))
 	do.ProvideValue(n.scope, poison.New(poison.DefaultConfig()))
 	do.ProvideValue(n.scope, limit.NewLocal())
--- a/router/peer/answer.go
+++ b/router/peer/answer.go
@@ -19,7 +19,7 @@
 // Exchange answers a peer's digest with this host's own.
 func (s *Service) Exchange(_ context.Context, d *peerpb.Digest) (*peerpb.Digest, error) {
 	s.take(d)
-	return s.digest(), nil
+	return s.Digest(), nil
 }
 
 // Pull answers with the configuration that the caller lacks.
--- a/router/peer/digest.go
+++ b/router/peer/digest.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -24,18 +25,18 @@
 	}
 }
 
-// digest returns what this host tells a peer.
-func (s *Service) digest() *peerpb.Digest {
+// Digest returns what this host tells a peer.
+func (s *Service) Digest() *peerpb.Digest {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	leaving := s.leaving
 	s.mu.Unlock()
-	known := s.cfg.Members.Find(member.FindOptions{WithoutSelf: true, States: []member.State{member.Live, member.Leaving}})
+	known := s.cfg.Members.Sample(s.shuffle)
 	return &peerpb.Digest{
-		From:         hostMessage(s.cfg.Self),
+		From:         hostMessage(s.cfg.Self, now),
 		Leaving:      leaving,
 		ConfigOffset: s.cfg.Store.Offset(),
-		Hosts:        lo.Map(lo.Slice(known, 0, maxDigestHosts), func(h member.Host, _ int) *peerpb.Host { return hostMessage(h) }),
+		Hosts:        lo.Map(known, func(h member.Host, _ int) *peerpb.Host { return hostMessage(h, now) }),
 		Suspects:     lo.Map(s.cfg.Poison.Suspects(maxSuspects, now), suspectMessage),
 		Endpoints:    s.endpointNews(),
 	}
@@ -55,12 +56,12 @@
 // take learns from a peer's digest.
 func (s *Service) take(d *peerpb.Digest) {
 	now := s.cfg.Clock.Now()
-	from, ok := hostFrom(d.GetFrom())
+	from, ok := hostFrom(d.GetFrom(), now)
 	if !ok || from.Name == s.cfg.Self.Name {
 		return
 	}
 	s.cfg.Members.Heard(from, d.GetLeaving(), now)
-	s.cfg.Members.Learn(lo.FilterMap(d.GetHosts(), func(h *peerpb.Host, _ int) (member.Host, bool) { return hostFrom(h) }), now)
+	s.cfg.Members.Learn(lo.FilterMap(d.GetHosts(), func(h *peerpb.Host, _ int) (member.Host, bool) { return hostFrom(h, now) }), now)
 	s.cfg.Poison.Merge(lo.Map(d.GetSuspects(), suspectFrom), now)
 	for _, e := range d.GetEndpoints() {
 		st := s.cfg.Health.Get(e.GetName())
@@ -70,16 +71,40 @@
 	}
 }
 
-func hostMessage(h member.Host) *peerpb.Host {
-	return &peerpb.Host{Name: h.Name, FailureDomain: h.FailureDomain, Address: h.Address.String()}
+func hostMessage(h member.Host, now time.Time) *peerpb.Host {
+	return &peerpb.Host{
+		Name:          h.Name,
+		FailureDomain: h.FailureDomain,
+		Address:       h.Address.String(),
+		AgeMs:         ageMs(h.Heard, now),
+		Leaving:       h.State == member.Leaving,
+	}
 }
 
-func hostFrom(h *peerpb.Host) (member.Host, bool) {
+// unheard is the age of a host that was never heard of.
+const unheard = math.MaxUint32
+
+func ageMs(heard, now time.Time) uint32 {
+	age := now.Sub(heard).Milliseconds()
+	if heard.IsZero() || age >= unheard {
+		return unheard
+	}
+	return uint32(max(0, age))
+}
+
+func hostFrom(h *peerpb.Host, now time.Time) (member.Host, bool) {
 	address, err := netip.ParseAddrPort(h.GetAddress())
 	if err != nil || h.GetName() == "" {
 		return member.Host{}, false
 	}
-	return member.Host{Name: h.GetName(), FailureDomain: h.GetFailureDomain(), Address: address}, true
+	out := member.Host{Name: h.GetName(), FailureDomain: h.GetFailureDomain(), Address: address, State: member.Live}
+	if h.GetLeaving() {
+		out.State = member.Leaving
+	}
+	if h.GetAgeMs() != unheard {
+		out.Heard = now.Add(-time.Duration(h.GetAgeMs()) * time.Millisecond)
+	}
+	return out, true
 }
 
 func suspectMessage(s poison.Suspect, _ int) *peerpb.Suspect {
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -60,7 +60,6 @@
 const (
 	callTimeout     = time.Second
 	demandEvery     = time.Second
-	maxDigestHosts  = 32
 	maxSuspects     = 64
 	maxEndpointNews = 64
 	maxMessageBytes = 64 << 20
@@ -189,18 +188,19 @@
 	ctx, cancel := clock.WithTimeout(ctx, c.s.cfg.Clock, callTimeout)
 	defer cancel()
 	c.s.exchanges.Inc()
-	if err := c.s.exchange(ctx, c.address); err != nil {
+	if err := c.s.ExchangeWith(ctx, c.address); err != nil {
 		c.s.failures.Inc()
 		c.s.cfg.Logger.Debug("peer does not answer", "address", c.address, "error", err)
 	}
 }
 
-func (s *Service) exchange(ctx context.Context, address netip.AddrPort) error {
+// ExchangeWith swaps digests with one peer and takes configuration that it has.
+func (s *Service) ExchangeWith(ctx context.Context, address netip.AddrPort) error {
 	client, err := s.client(address)
 	if err != nil {
 		return err
 	}
-	reply, err := client.Exchange(ctx, s.digest())
+	reply, err := client.Exchange(ctx, s.Digest())
 	if err != nil {
 		return fmt.Errorf("exchange: %w", err)
 	}
@@ -253,11 +253,18 @@
 	return s.cfg.Dial(ctx, "tcp", address)
 }
 
+// shuffle puts n things into a random order.
+func (s *Service) shuffle(n int, swap func(i, j int)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rng.Shuffle(n, swap)
+}
+
 // pick returns the peers of the next exchange: a few at random, and the seeds
 // while no peer is known.
 func (s *Service) pick() []netip.AddrPort {
 	all := s.addresses()
-	s.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	s.shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(len(all), s.cfg.Fanout)]
 }
 
--- a/router/pool/pool.go
+++ b/router/pool/pool.go
@@ -106,10 +106,9 @@
 	}
 }
 
-// capacity returns how many requests this host may have at the engines of a
-// model: the slots that other hosts leave free, and always an even part.
+// capacity returns how many requests this host may have at the engines of a model.
 func (p *Pool) capacity(f *fleet.Fleet, model string) int {
-	hosts := float64(max(1, p.cfg.Hosts.Contracted()))
+	hosts := p.cfg.Hosts.Contracted()
 	total := 0.0
 	for _, e := range f.Serving(fleet.KindEngine, model) {
 		s := p.cfg.Health.Get(e.Name)
@@ -117,7 +116,7 @@
 			continue
 		}
 		slots := float64(e.Slots) * p.cfg.Overcommit
-		total += max(slots-float64(s.Others), slots/hosts)
+		total += admit.Part(slots, float64(s.OwnReported), float64(s.Others), hosts)
 	}
 	return max(1, int(math.Ceil(total)))
 }
--- a/router/prefs/prefs.go
+++ b/router/prefs/prefs.go
@@ -117,6 +117,8 @@
 	Policy string `yaml:"policy"`
 	// ProbeInterval is the time between load reports of an endpoint.
 	ProbeInterval time.Duration `yaml:"probe-interval"`
+	// ReportLag is how old an endpoint's report is when it arrives.
+	ReportLag time.Duration `yaml:"report-lag"`
 	// StallTimeout is how long an engine may make no progress on a stream.
 	StallTimeout time.Duration `yaml:"stall-timeout"`
 	// CacheEvents makes the host read the engines' cache events.
@@ -176,7 +178,7 @@
 			Fanout:   3,
 		},
 		Platform:  Platform{Timeout: 2 * time.Second, ListInterval: time.Second},
-		Routing:   Routing{Policy: route.NameExpect, ProbeInterval: 250 * time.Millisecond, StallTimeout: 3 * time.Second, MaxKeys: 50_000},
+		Routing:   Routing{Policy: route.NameExpect, ProbeInterval: 100 * time.Millisecond, ReportLag: 200 * time.Millisecond, StallTimeout: 3 * time.Second, MaxKeys: 50_000},
 		Admission: Admission{MaxQueue: 1000, UrgentReserve: 0.1, Overcommit: 1},
 		Chores:    Chores{HeartbeatInterval: 2 * time.Second, CheckpointInterval: time.Minute},
 		Stop:      Stop{Notice: time.Second, Grace: 2 * time.Minute},
@@ -249,6 +251,7 @@
 		{s.Platform.ListInterval > 0, "platform.list-interval", positive},
 		{slices.Contains(route.Names(), s.Routing.Policy), "routing.policy", fmt.Sprintf("must be one of %v", route.Names())},
 		{s.Routing.ProbeInterval > 0, "routing.probe-interval", positive},
+		{s.Routing.ReportLag >= 0, "routing.report-lag", "must not be negative"},
 		{s.Routing.StallTimeout > 0, "routing.stall-timeout", positive},
 		{s.Routing.MaxKeys > 0, "routing.max-keys", positive},
 		{s.Admission.MaxQueue > 0, "admission.max-queue", positive},
--- a/stand/engine/serve.go
+++ b/stand/engine/serve.go
@@ -49,6 +49,8 @@
 	life     context.Context
 	cached   int
 	imported int
+	// crossed says that the answer is another request's.
+	crossed bool
 }
 
 func (e *Engine) serve(kind openai.Kind) http.HandlerFunc {
@@ -168,6 +170,7 @@
 }
 
 func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, j *job, tokens int) error {
+	j.crossed = e.faults.TakeCross()
 	e.writeHeader(w, j)
 	a := &answer{
 		req:     j.req,
@@ -178,6 +181,11 @@
 		tokens:  tokens,
 	}
 	out := http.NewResponseController(w)
+	if j.crossed {
+		another := *j.req
+		another.Prompt = "the prompt of another request"
+		a.req = &another
+	}
 	cut := e.faults.Get().CutStreamsAfter
 	for i := j.from; i < a.events(); i++ {
 		if i < j.req.MaxTokens {
@@ -206,7 +214,7 @@
 	h.Set("Content-Type", "text/event-stream")
 	h.Set(engine.HeaderRequestID, j.header.Get(engine.HeaderRequestID))
 	h.Set(engine.HeaderAttempt, j.header.Get(engine.HeaderAttempt))
-	if e.faults.TakeCross() {
+	if j.crossed {
 		h.Set(engine.HeaderRequestID, "another-request")
 	}
 	h.Set(engine.HeaderIncarnation, j.who.incarnation)
--- /dev/null
+++ b/suite/capacity/main.go
@@ -0,0 +1,104 @@
+// Command capacity measures what each mechanism costs a node and works out from
+// it what a node needs at the target size. It prints the table of docs/CAPACITY.md.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+)
+
+// The target size.
+const (
+	targetNodes          = 340
+	targetEngines        = 740
+	targetDomains        = 4
+	targetAccounts       = 13_000
+	targetRequests       = 8_000 // a second
+	targetTokens         = 1_700_000
+	targetBlocks         = 42_000_000
+	targetEvents         = 1_200_000 // a second
+	targetChanges        = 2_600     // a day
+	targetOrders         = 400       // a second
+	secondsPerDay        = 24 * 3600
+	budgetCPU            = 2.8  // percent of a core
+	budgetMemory         = 32.0 // MB
+	budgetBytes          = 16.0 // KB a second
+	nodeRequests         = float64(targetRequests) / targetNodes
+	domainEngines        = targetEngines / targetDomains
+	piecesPerPrompt      = 20
+	promptBytes          = piecesPerPrompt * 8000
+	defaultProbeInterval = 0.1 // seconds
+	defaultGossip        = 0.5 // seconds
+	defaultFanout        = 3
+	heartbeatsPerSecond  = 0.5
+)
+
+// row is one mechanism of one role.
+type row struct {
+	role      string
+	mechanism string
+	// state, cpu and bytes are what it costs a node: MB, percent of a core, KB/s.
+	state float64
+	cpu   float64
+	bytes float64
+	note  string
+}
+
+func main() {
+	s := measure()
+	printSlopes(os.Stdout, s)
+	rows := nodeRows(s)
+	printRows(os.Stdout, rows)
+}
+
+// percent turns nanoseconds for each of n happenings a second into a share of a core.
+func percent(nanos, perSecond float64) float64 { return nanos * perSecond / 1e9 * 100 }
+
+func kilobytes(bytes, perSecond float64) float64 { return bytes * perSecond / 1000 }
+
+func megabytes(bytes, n float64) float64 { return bytes * n / 1e6 }
+
+// nodeRows works out what a node needs from the slopes.
+func nodeRows(s slopes) []row {
+	gossip := 2 * defaultFanout / defaultGossip // exchanges a second, asked and answered
+	changes := float64(targetChanges) / secondsPerDay
+	return []row{
+		{"configuration", "log reader, copy-on-write view", megabytes(s.accountBytes, targetAccounts),
+			percent(s.changeNanos, changes+heartbeatsPerSecond), kilobytes(s.changeBytes, changes) + kilobytes(s.heartbeatBytes, heartbeatsPerSecond),
+			"every node reads every change"},
+		{"limits, own use", "token buckets of active accounts", megabytes(s.limitBytes, nodeRequests*30),
+			percent(s.limitNanos, nodeRequests), 0, "accounts are forgotten after 30 s"},
+		{"limits, split", "demand to the rendezvous keeper each second", megabytes(s.keeperBytes, nodeRequests*3),
+			percent(s.keeperNanos+2*s.demandNanos, nodeRequests), 2 * kilobytes(s.demandBytes, nodeRequests), "one call for each active account at worst"},
+		{"routing", "placement, evidence, expected time", 0, percent(s.chooseNanos+s.heldNanos+s.chainNanos, nodeRequests), 0,
+			fmt.Sprintf("over the %d engines of the own domain", domainEngines)},
+		{"prefix index", "own requests only, bounded", megabytes(s.indexBytes, 50_000), percent(s.confirmNanos*piecesPerPrompt*2, nodeRequests), 0, "50,000 keys of 42 million"},
+		{"endpoints", "health table", megabytes(s.endpointBytes, targetEngines), 0, 0, ""},
+		{"load reports", "each node polls every engine", 0, percent(s.probeNanos, targetEngines/defaultProbeInterval),
+			kilobytes(s.probeBytes, targetEngines/defaultProbeInterval), "OVER: needs polling shared out in the domain"},
+		{"membership", "sampled digests, ages through others", megabytes(s.hostBytes, targetNodes), percent(s.exchangeNanos, gossip),
+			2 * kilobytes(s.digestBytes, gossip), "asked and answered, both digests"},
+		{"claims, all nodes read", "fold of the claims stream", megabytes(s.claimBytes, targetOrders*3600), percent(s.foldNanos, targetOrders),
+			kilobytes(s.claimRecordBytes+s.outcomeRecordBytes, targetOrders), "OVER: needs one batcher for each domain"},
+		{"cache events", "off; evidence from answers instead", 0, 0, 0,
+			fmt.Sprintf("all events on one node would be %.0f KB/s", kilobytes(s.eventBytes, targetEvents))},
+	}
+}
+
+func printRows(w io.Writer, rows []row) {
+	_, _ = fmt.Fprintf(w, "\nA node at the target size: %.1f requests/s, %d engines in its domain.\n\n", nodeRequests, domainEngines)
+	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "| role\t| mechanism\t| state MB\t| CPU % of a core\t| KB/s\t| note\t|")
+	_, _ = fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|")
+	var sum row
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(tw, "| %s\t| %s\t| %.2f\t| %.3f\t| %.2f\t| %s\t|\n", r.role, r.mechanism, r.state, r.cpu, r.bytes, r.note)
+		sum.state += r.state
+		sum.cpu += r.cpu
+		sum.bytes += r.bytes
+	}
+	_, _ = fmt.Fprintf(tw, "| sum\t| \t| %.2f\t| %.3f\t| %.2f\t| budget %.0f MB, %.1f %%, %.0f KB/s\t|\n", sum.state, sum.cpu, sum.bytes, budgetMemory, budgetCPU, budgetBytes)
+	_ = tw.Flush()
+}
--- /dev/null
+++ b/suite/capacity/measure.go
@@ -0,0 +1,345 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
+
+	"cicadastand.dev/core/coord/follow"
+	"cicadastand.dev/core/coord/health"
+	"cicadastand.dev/core/coord/limit"
+	"cicadastand.dev/core/coord/member"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/route"
+	"cicadastand.dev/core/proto/engine"
+	"cicadastand.dev/core/proto/peerpb"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/state/index"
+	"cicadastand.dev/core/state/ledger"
+	"cicadastand.dev/core/state/prefix"
+	"cicadastand.dev/core/state/stream"
+	"cicadastand.dev/core/state/usage"
+	"cicadastand.dev/core/trans/dials"
+	"cicadastand.dev/router/peer"
+	"cicadastand.dev/router/probe"
+)
+
+// slopes are the measured costs.
+type slopes struct {
+	// Bytes of memory for each thing kept.
+	accountBytes, limitBytes, keeperBytes, indexBytes, endpointBytes, hostBytes, claimBytes float64
+	// Nanoseconds of processor time for each happening.
+	changeNanos, limitNanos, keeperNanos, demandNanos, chooseNanos, heldNanos, chainNanos, confirmNanos, probeNanos, exchangeNanos, foldNanos float64
+	// Bytes on the wire for each message.
+	changeBytes, heartbeatBytes, demandBytes, probeBytes, digestBytes, claimRecordBytes, outcomeRecordBytes, eventBytes float64
+}
+
+var start = time.Unix(1_000_000, 0).UTC()
+
+func measure() slopes {
+	var s slopes
+	s.measureConfiguration()
+	s.measureLimits()
+	s.measureRouting()
+	s.measureTables()
+	s.measureClaims()
+	s.measurePeers()
+	s.measureProbe()
+	ev, _ := json.Marshal(engine.CacheEvent{Sequence: 1 << 30, Kind: engine.EventStored, Key: prefix.Key{1}.String(), Incarnation: strings.Repeat("x", 36)})
+	s.eventBytes = float64(len(ev))
+	return s
+}
+
+// heap returns the bytes of memory that build keeps for each of n things.
+func heap[T any](n int, build func() T) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return max(0, float64(after.HeapAlloc)-float64(before.HeapAlloc)) / float64(n)
+}
+
+// nanos returns the time of one call of do.
+func nanos(do func(i int)) float64 {
+	r := testing.Benchmark(func(b *testing.B) {
+		i := 0
+		for b.Loop() {
+			do(i)
+			i++
+		}
+	})
+	return float64(r.NsPerOp())
+}
+
+func contractText(i int) string {
+	account := fmt.Sprintf("account-%05d", i)
+	return fmt.Sprintf(`account: %s
+key-hashes: [%s]
+rank: urgent
+ranks: [urgent, other]
+limits: {requests-per-second: 20, tokens-per-second: 100000, concurrency: 50}
+urgent: {first-token: 590ms, deadline: 30s}
+models: [m]
+`, account, fleet.HashKey(account))
+}
+
+func change(document, text string, base uint64) []byte {
+	rec := conf.Record{Kind: conf.KindChange, ID: strings.Repeat("x", 36), Change: &conf.Change{Document: document, Base: base, Author: "ana", Text: text}}
+	data, _ := rec.Encode()
+	return data
+}
+
+func (s *slopes) measureConfiguration() {
+	store := follow.NewStore()
+	store.Apply([]stream.Record{{Offset: 1, Time: start, Data: change("fleet", "models: [{name: m, weights-version: v1}]\n", 0)}})
+	s.accountBytes = heap(targetAccounts, func() *follow.Store {
+		for i := range targetAccounts {
+			data := change(conf.ContractDocument(fmt.Sprintf("account-%05d", i)), contractText(i), 0)
+			store.Apply([]stream.Record{{Offset: uint64(i + 2), Time: start, Data: data}})
+		}
+		return store
+	})
+	name, text := conf.ContractDocument("account-00001"), contractText(1)
+	version, offset := uint64(3), store.Offset()
+	s.changeBytes = float64(len(change(name, text, version)))
+	s.changeNanos = nanos(func(int) {
+		offset++
+		store.Apply([]stream.Record{{Offset: offset, Time: start, Data: change(name, text, version)}})
+		version = offset
+	})
+	beat := conf.Record{Kind: conf.KindHeartbeat, ID: strings.Repeat("x", 36), Heartbeat: &conf.Heartbeat{Host: "node-001", Sent: start}}
+	data, _ := beat.Encode()
+	s.heartbeatBytes = float64(len(data))
+}
+
+func (s *slopes) measureLimits() {
+	contract := func(i int) *fleet.Contract {
+		return &fleet.Contract{Account: fmt.Sprintf("account-%05d", i), Limits: fleet.Limits{RequestsPerSecond: 1e9, TokensPerSecond: 1e9, Concurrency: 1e6}}
+	}
+	const n = 1000
+	s.limitBytes = heap(n, func() *limit.Local {
+		l := limit.NewLocal()
+		for i := range n {
+			_ = l.Enter(contract(i), 1, start)
+		}
+		return l
+	})
+	l, c := limit.NewLocal(), contract(1)
+	s.limitNanos = nanos(func(i int) {
+		if l.Enter(c, 1, start.Add(time.Duration(i))) == nil {
+			l.Leave(c.Account)
+		}
+	})
+	s.keeperBytes = heap(n, func() *limit.Keeper {
+		k := limit.NewKeeper(limit.DefaultKeeperConfig())
+		for i := range n {
+			k.Report("node-001", fmt.Sprintf("account-%05d", i), 1, 20, start)
+		}
+		return k
+	})
+	k := limit.NewKeeper(limit.DefaultKeeperConfig())
+	s.keeperNanos = nanos(func(i int) { k.Report(fmt.Sprintf("node-%d", i%8), "account", 2, 20, start) })
+}
+
+func keys(n int) []prefix.Key {
+	out := make([]prefix.Key, n)
+	for i := range out {
+		out[i] = prefix.Key{byte(i), byte(i >> 8), byte(i >> 16)}
+	}
+	return out
+}
+
+func (s *slopes) measureRouting() {
+	names := make([]string, domainEngines)
+	candidates := make([]route.Candidate, domainEngines)
+	for i := range names {
+		names[i] = fmt.Sprintf("engine-%03d", i)
+		candidates[i] = route.Candidate{Name: names[i], Slots: 32, PrefillRate: 50_000, ServiceTime: time.Second}
+	}
+	chain := keys(piecesPerPrompt)
+	policy := route.NewExpect()
+	req := route.Request{Chain: chain, Tokens: 41_000, OwnerBelief: 0.7}
+	s.chooseNanos = nanos(func(int) { policy.Choose(req, candidates) })
+	x := index.New(index.DefaultConfig())
+	for _, name := range names[:8] {
+		x.Confirm(name, "one", chain, start)
+	}
+	s.heldNanos = nanos(func(int) { x.Held(chain, names, start) })
+	prompt := strings.Repeat("x", promptBytes)
+	s.chainNanos = nanos(func(int) { prefix.Chain(prefix.Scope{Account: "a", Model: "m"}, prompt) })
+	all := keys(50_000)
+	s.indexBytes = heap(len(all), func() *index.Index {
+		x := index.New(index.DefaultConfig())
+		x.Confirm("engine-001", "one", all, start)
+		return x
+	})
+	s.confirmNanos = nanos(func(i int) { x.Confirm("engine-001", "one", all[i%len(all):i%len(all)+1], start) })
+}
+
+func (s *slopes) measureTables() {
+	s.endpointBytes = heap(targetEngines, func() *health.Table {
+		t := health.New(health.DefaultConfig())
+		for i := range targetEngines {
+			t.Reported(fmt.Sprintf("engine-%03d", i), health.Report{Incarnation: strings.Repeat("x", 36), Weights: map[string]string{"m": "v1"}}, start)
+		}
+		return t
+	})
+	s.hostBytes = heap(targetNodes, func() *member.Table { return members(targetNodes, "node-000") })
+}
+
+func members(n int, self string) *member.Table {
+	t := member.New(member.DefaultConfig(member.Host{Name: self, FailureDomain: "domain-1"}))
+	for i := range n {
+		t.Heard(member.Host{Name: fmt.Sprintf("node-%03d", i), FailureDomain: "domain-1", Address: netip.MustParseAddrPort("10.0.0.1:7300")}, false, time.Now())
+	}
+	t.Review(time.Now())
+	return t
+}
+
+func (s *slopes) measureClaims() {
+	record := func(i int) ledger.Record {
+		return ledger.Record{
+			Kind: ledger.KindClaim, Attempt: strings.Repeat("x", 36), Digest: strings.Repeat("d", 64), Created: start, Endpoint: "orders-01",
+			ID: ledger.ID{Account: "account-00001", Service: "shop", Key: fmt.Sprintf("0190a0a0-0000-7000-8000-%012d", i)},
+		}
+	}
+	outcome := record(1)
+	outcome.Kind, outcome.Digest, outcome.Endpoint = ledger.KindOutcome, "", ""
+	outcome.Outcome = &ledger.Outcome{Status: 201, ContentType: "application/json", Body: make([]byte, 120)}
+	claimData, _ := ledger.EncodeBatch([]ledger.Record{record(1)})
+	outcomeData, _ := ledger.EncodeBatch([]ledger.Record{outcome})
+	s.claimRecordBytes, s.outcomeRecordBytes = float64(len(claimData)), float64(len(outcomeData))
+	const n = 50_000
+	s.claimBytes = heap(n, func() *ledger.Table {
+		t := ledger.New(ledger.DefaultConfig())
+		for i := range n {
+			t.Apply(uint64(i+1), start, record(i))
+		}
+		return t
+	})
+	t := ledger.New(ledger.DefaultConfig())
+	s.foldNanos = nanos(func(i int) {
+		for _, data := range [][]byte{claimData, outcomeData} {
+			records, _ := ledger.DecodeBatch(data)
+			for _, r := range records {
+				r.ID.Key = fmt.Sprint(i)
+				t.Apply(uint64(i+1), start, r)
+			}
+		}
+	})
+}
+
+// newPeer returns a peer service that listens on loopback and knows many hosts.
+func newPeer(ctx context.Context, name string, address netip.AddrPort, others *member.Table) *peer.Service {
+	p := peer.New(peer.Config{
+		Clock: clock.New(), Self: member.Host{Name: name, FailureDomain: "domain-1", Address: address}, Listen: address,
+		Members: others, Store: follow.NewStore(), Health: health.New(health.DefaultConfig()), Poison: poison.New(poison.DefaultConfig()),
+		Limits: limit.NewLocal(), Keeper: limit.NewKeeper(limit.DefaultKeeperConfig()), Usage: usage.New(), Interval: time.Second, Fanout: 1,
+		ServerCreds: insecure.NewCredentials(), ClientCreds: insecure.NewCredentials(), Dial: dials.From(netip.Addr{}),
+		Logger: hclog.NewNullLogger(), Metrics: metrics.NewSet(),
+	})
+	if err := p.Listen(ctx); err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// measurePeers measures an exchange with both sides in this process, so the time
+// is that of asking and of answering together.
+func (s *slopes) measurePeers() {
+	ctx := context.Background()
+	address := netip.MustParseAddrPort("127.0.0.1:17301")
+	a := newPeer(ctx, "a", netip.MustParseAddrPort("127.0.0.1:17302"), members(targetNodes, "a"))
+	b := newPeer(ctx, "b", address, members(targetNodes, "b"))
+	defer a.Close()
+	defer b.Close()
+	s.exchangeNanos = nanos(func(int) {
+		if err := a.ExchangeWith(ctx, address); err != nil {
+			panic(err)
+		}
+	}) / 2
+	s.demandNanos = s.exchangeNanos
+	s.digestBytes = float64(proto.Size(a.Digest())) + grpcOverhead
+	demand := &peerpb.DemandRequest{Host: "node-001", Demands: []*peerpb.AccountDemand{{Account: "account-00001", Requests: 1.5}}}
+	s.demandBytes = float64(proto.Size(demand)) + grpcOverhead
+}
+
+// grpcOverhead is the size of the frames and compressed headers around a message.
+const grpcOverhead = 80
+
+func (s *slopes) measureProbe() {
+	load := engine.Load{Incarnation: strings.Repeat("x", 36), Weights: map[string]string{"m": "v1"}, Role: "serving", Running: 30, QueuedTokens: 10_000}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(load) }))
+	defer server.Close()
+	p := probe.New(probe.Config{
+		Clock: clock.New(), Health: health.New(health.DefaultConfig()), Index: index.New(index.DefaultConfig()),
+		Dial: dials.From(netip.Addr{}), Logger: hclog.NewNullLogger(),
+	})
+	defer p.Close()
+	e := fleet.Endpoint{Name: "e", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	s.probeNanos = nanos(func(int) {
+		if _, err := p.Probe(context.Background(), e); err != nil {
+			panic(err)
+		}
+	}) / 2
+	body, _ := json.Marshal(load)
+	const httpOverhead = 250
+	s.probeBytes = float64(len(body)) + httpOverhead
+}
+
+func printSlopes(w io.Writer, s slopes) {
+	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "| slope\t| value\t| unit\t|")
+	_, _ = fmt.Fprintln(tw, "|---\t|---\t|---\t|")
+	for _, r := range []struct {
+		name  string
+		value float64
+		unit  string
+	}{
+		{"contract in force", s.accountBytes, "bytes"},
+		{"active account, buckets", s.limitBytes, "bytes"},
+		{"split account", s.keeperBytes, "bytes"},
+		{"prefix index key", s.indexBytes, "bytes"},
+		{"endpoint", s.endpointBytes, "bytes"},
+		{"host", s.hostBytes, "bytes"},
+		{"idempotency key", s.claimBytes, "bytes"},
+		{"configuration change", s.changeNanos, "ns"},
+		{"limit check", s.limitNanos, "ns"},
+		{"split of one account", s.keeperNanos, "ns"},
+		{"routing decision over one domain", s.chooseNanos, "ns"},
+		{"evidence for one domain", s.heldNanos, "ns"},
+		{"keys of a prompt of 40,000 tokens", s.chainNanos, "ns"},
+		{"confirmation of a piece", s.confirmNanos, "ns"},
+		{"load report", s.probeNanos, "ns"},
+		{"exchange, one side", s.exchangeNanos, "ns"},
+		{"claim and outcome folded", s.foldNanos, "ns"},
+		{"change on the log", s.changeBytes, "bytes"},
+		{"digest with 32 hosts", s.digestBytes, "bytes"},
+		{"demand of one account", s.demandBytes, "bytes"},
+		{"load report", s.probeBytes, "bytes"},
+		{"claim and outcome on the log", s.claimRecordBytes + s.outcomeRecordBytes, "bytes"},
+		{"cache event", s.eventBytes, "bytes"},
+	} {
+		_, _ = fmt.Fprintf(tw, "| %s\t| %.0f\t| %s\t|\n", r.name, r.value, r.unit)
+	}
+	_ = tw.Flush()
+}
