Roll out weights as desired state

Cause: engines kept the weights they started with; a new version in the fleet description left no engine that fits. Change: one host compares what is asked for with what engines report and orders loads, no more at once than allowed, with the version of the fleet description as fencing number; engines that ignore it are read back and corrected. A request is served by the previous version until an engine has the new one, or waits for it.

--- a/core/state/conf/snapshot.go
+++ b/core/state/conf/snapshot.go
@@ -87,16 +87,18 @@
 // View is an immutable picture of the configuration in force.
 type View struct {
 	// Offset is the offset of the last record that the view includes.
-	Offset    uint64
-	Fleet     *fleet.Fleet
-	contracts map[string]*fleet.Contract
-	byHash    map[string]string
+	Offset uint64
+	Fleet  *fleet.Fleet
+	// FleetVersion is the version of the fleet description.
+	FleetVersion uint64
+	contracts    map[string]*fleet.Contract
+	byHash       map[string]string
 }
 
 // View returns a picture of the current state that later records don't change.
 func (s *State) View() *View {
 	s.shared = true
-	return &View{Offset: s.offset, Fleet: s.fleet, contracts: s.contracts, byHash: s.byHash}
+	return &View{Offset: s.offset, Fleet: s.fleet, FleetVersion: s.docs[FleetDocument].Version, contracts: s.contracts, byHash: s.byHash}
 }
 
 // Contract returns the contract of an account.
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Name string `yaml:"name"`
 	// WeightsVersion is the version that engines must run.
 	WeightsVersion string `yaml:"weights-version"`
+	// PreviousVersion may serve while engines load the new one; empty for none.
+	PreviousVersion string `yaml:"previous-version"`
 	// Adapter names an adapter that is loaded on top of the weights.
 	Adapter string `yaml:"adapter"`
 }
--- a/router/chore/chore.go
+++ b/router/chore/chore.go
@@ -93,8 +93,8 @@
 	return member.Host{Name: h.Name, FailureDomain: h.FailureDomain, Address: h.Address, State: state}
 }
 
-// mine reports whether this host does a chore, as far as it knows.
-func (r *Runner) mine(chore string) bool {
+// Mine reports whether this host does a duty, as far as it knows.
+func (r *Runner) Mine(chore string) bool {
 	live := r.cfg.Members.Find(member.FindOptions{States: []member.State{member.Live}})
 	key := route.NameKey(chore)
 	owner := lo.MaxBy(live, func(a, b member.Host) bool { return route.Score(key, a.Name) > route.Score(key, b.Name) })
@@ -102,7 +102,7 @@
 }
 
 func (r *Runner) heartbeat(ctx context.Context) {
-	if !r.mine("heartbeat") {
+	if !r.Mine("heartbeat") {
 		return
 	}
 	beat := &conf.Heartbeat{Host: r.cfg.Self, Sent: r.cfg.Clock.Now()}
@@ -112,7 +112,7 @@
 // Checkpoint appends the current state, if this host is the one to do it and
 // the state has changed since.
 func (r *Runner) Checkpoint(ctx context.Context) {
-	if !r.mine("checkpoint") {
+	if !r.Mine("checkpoint") {
 		return
 	}
 	snap := r.cfg.Store.Snapshot()
--- a/router/front/complete.go
+++ b/router/front/complete.go
@@ -61,6 +61,7 @@
 			return nil, badHeader(HeaderLastEvent, "must be the number of an event of a stream")
 		}
 	}
+	model.WeightsVersion = s.cfg.Runner.Version(model)
 	return send.NewJob(x.id, x.contract.Account, x.rank, model, req, resume)
 }
 
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -44,6 +44,8 @@
 // Runner runs admitted completions.
 type Runner interface {
 	Run(ctx context.Context, job *send.Job, sink send.Sink) (send.Result, error)
+	// Version returns the weights version that serves a model now.
+	Version(model fleet.Model) string
 }
 
 // Caller runs calls of plain services.
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -34,6 +34,7 @@
 	"cicadastand.dev/router/pool"
 	"cicadastand.dev/router/prefs"
 	"cicadastand.dev/router/probe"
+	"cicadastand.dev/router/roll"
 	"cicadastand.dev/router/send"
 )
 
@@ -111,6 +112,7 @@
 		do.MustInvoke[*claim.Coordinator](n.scope).Run,
 		do.MustInvoke[*peer.Service](n.scope).Run,
 		do.MustInvoke[*chore.Runner](n.scope).Run,
+		do.MustInvoke[*roll.Runner](n.scope).Run,
 		do.MustInvoke[*probe.Prober](n.scope).Run,
 		do.MustInvoke[*pool.Pool](n.scope).Run,
 	}
--- a/router/node/parts.go
+++ b/router/node/parts.go
@@ -31,6 +31,7 @@
 	"cicadastand.dev/router/pool"
 	"cicadastand.dev/router/prefs"
 	"cicadastand.dev/router/probe"
+	"cicadastand.dev/router/roll"
 	"cicadastand.dev/router/send"
 )
 
@@ -39,6 +40,7 @@
 	provideState(n)
 	provideLog(n)
 	provideRouting(n)
+	provideRoll(n)
 	provideServers(n)
 }
 
@@ -179,6 +181,19 @@
 	})
 }
 
+func provideRoll(n *Node) {
+	do.Provide(n.scope, func(i do.Injector) (*roll.Runner, error) {
+		return roll.New(roll.Config{
+			Clock:  n.clock,
+			Views:  do.MustInvoke[*follow.Store](i),
+			Duties: do.MustInvoke[*chore.Runner](i),
+			Health: do.MustInvoke[*health.Table](i),
+			Dial:   n.dial(),
+			Logger: n.logger.Named("roll"),
+		}), nil
+	})
+}
+
 func provideServers(n *Node) {
 	s := n.settings
 	do.Provide(n.scope, func(i do.Injector) (*front.Server, error) {
--- a/router/send/choose.go
+++ b/router/send/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"cicadastand.dev/core/coord/health"
 	"cicadastand.dev/core/coord/route"
@@ -20,7 +21,7 @@
 // suspect waits until an endpoint is free of other suspects.
 func (d *Dispatcher) choose(ctx context.Context, r *run) (fleet.Endpoint, error) {
 	for {
-		usable := d.usable(r)
+		usable := d.awaitEndpoint(ctx, r)
 		if len(usable) == 0 {
 			return fleet.Endpoint{}, &ErrNoEndpoint{Model: r.job.Model.Name}
 		}
@@ -33,6 +34,59 @@
 	}
 }
 
+// Version returns the weights version that serves a model now: the one that the
+// fleet description asks for, or the previous one until an engine has it.
+func (d *Dispatcher) Version(m fleet.Model) string {
+	if m.PreviousVersion == "" {
+		return m.WeightsVersion
+	}
+	previous := false
+	for _, e := range d.cfg.Views.View().Fleet.Serving(fleet.KindEngine, m.Name) {
+		s := d.cfg.Health.Get(e.Name)
+		if s.State != health.Live || s.Report.Loading {
+			continue
+		}
+		switch s.Report.Weights[m.Name] {
+		case m.WeightsVersion:
+			return m.WeightsVersion
+		case m.PreviousVersion:
+			previous = true
+		}
+	}
+	if previous {
+		return m.PreviousVersion
+	}
+	return m.WeightsVersion
+}
+
+// awaitEndpoint waits a while for an engine that loads what the job needs.
+func (d *Dispatcher) awaitEndpoint(ctx context.Context, r *run) []fleet.Endpoint {
+	until := d.cfg.Clock.Now().Add(loadWait)
+	for {
+		usable := d.usable(r)
+		if len(usable) > 0 || !d.anyLoading(r.job) || d.cfg.Clock.Now().After(until) {
+			return usable
+		}
+		if clock.Sleep(ctx, d.cfg.Clock, retryPause) != nil {
+			return nil
+		}
+	}
+}
+
+// loadWait is how long a request waits for an engine to load its weights.
+const loadWait = 3 * time.Second
+
+// anyLoading reports whether an engine of the model loads weights, or will soon.
+func (d *Dispatcher) anyLoading(j *Job) bool {
+	for _, e := range d.cfg.Views.View().Fleet.Serving(fleet.KindEngine, j.Model.Name) {
+		s := d.cfg.Health.Get(e.Name)
+		if s.State == health.Live && (s.Report.Loading || s.Report.Weights[j.Model.Name] != j.Model.WeightsVersion) {
+			return true
+		}
+	}
+	return false
+}
+
 // enter tries the usable endpoints in the policy's order.
 func (d *Dispatcher) enter(r *run, usable []fleet.Endpoint) (fleet.Endpoint, bool) {
 	now := d.cfg.Clock.Now()
--- a/suite/script_test.go
+++ b/suite/script_test.go
@@ -292,11 +292,13 @@
 	fs := flag.NewFlagSet("publish", flag.ContinueOnError)
 	to := fs.String("to", "r1", "")
 	base := fs.String("base", "now", "")
+	weights := fs.String("weights", "weights-version: v1", "")
 	if err := fs.Parse(args); err != nil {
 		return err
 	}
 	text := strings.ReplaceAll(ts.ReadFile(fs.Arg(0)), "$SMALL\n", contractText("small", "urgent"))
 	text = strings.ReplaceAll(text, "$FLEET\n", sc.site.fleetText())
+	text = strings.ReplaceAll(text, "weights-version: v1", *weights)
 	name := "fleet"
 	if strings.HasPrefix(text, "account: ") {
 		name = "contract/" + strings.Fields(text)[1]
@@ -464,6 +466,10 @@
 		return strconv.Itoa(st.Crashes), nil
 	case "served":
 		return strconv.Itoa(len(st.Served)), nil
+	case "weights":
+		var load engine.Load
+		err := sc.site.control(name, http.MethodGet, "/v1/load", nil, &load)
+		return load.Weights["advice"], err
 	case "violations":
 		return strconv.Itoa(st.Violations), nil
 	default:
