--- a/opctl/cli/commands.go
+++ b/opctl/cli/commands.go
@@ -145,6 +145,17 @@
 	return c.printf(format, args...)
 }
 
+// show gets an answer and prints it, as JSON or by print.
+func (c *command) show(ctx context.Context, path string, query url.Values, body any, print func() error) error {
+	if err := c.client.get(ctx, path, query, body); err != nil {
+		return err
+	}
+	if c.json {
+		return c.printJSON(body)
+	}
+	return print()
+}
+
 func list(ctx context.Context, c *command) error {
 	var body struct {
 		Offset    uint64 `json:"offset"`
@@ -155,17 +166,13 @@
 			Time    time.Time `json:"time"`
 		} `json:"documents"`
 	}
-	if err := c.client.get(ctx, "/v1/documents", nil, &body); err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(body)
-	}
-	t := newTable("DOCUMENT", "VERSION", "AUTHOR", "TIME")
-	for _, d := range body.Documents {
-		t.row(d.Name, d.Version, d.Author, d.Time.Format(time.RFC3339))
-	}
-	return t.print(c.stdout)
+	return c.show(ctx, "/v1/documents", nil, &body, func() error {
+		t := newTable("DOCUMENT", "VERSION", "AUTHOR", "TIME")
+		for _, d := range body.Documents {
+			t.row(d.Name, d.Version, d.Author, d.Time.Format(time.RFC3339))
+		}
+		return t.print(c.stdout)
+	})
 }
 
 func get(ctx context.Context, c *command) error {
@@ -174,13 +181,9 @@
 		return err
 	}
 	var doc conf.Document
-	if err := c.client.get(ctx, "/v1/document", url.Values{"name": {name}}, &doc); err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(doc)
-	}
-	return c.printf("# %s, version %d, by %s\n%s", doc.Name, doc.Version, doc.Author, doc.Text)
+	return c.show(ctx, "/v1/document", url.Values{"name": {name}}, &doc, func() error {
+		return c.printf("# %s, version %d, by %s\n%s", doc.Name, doc.Version, doc.Author, doc.Text)
+	})
 }
 
 func diff(ctx context.Context, c *command) error {
@@ -220,17 +223,13 @@
 	var body struct {
 		Verdicts []conf.Verdict `json:"verdicts"`
 	}
-	if err := c.client.get(ctx, "/v1/history", url.Values{"name": {name}}, &body); err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(body)
-	}
-	t := newTable("OFFSET", "TIME", "AUTHOR", "DOCUMENT", "OUTCOME", "REASON")
-	for _, v := range body.Verdicts {
-		t.row(v.Offset, v.Time.Format(time.RFC3339), v.Author, v.Document, v.Outcome, v.Reason)
-	}
-	return t.print(c.stdout)
+	return c.show(ctx, "/v1/history", url.Values{"name": {name}}, &body, func() error {
+		t := newTable("OFFSET", "TIME", "AUTHOR", "DOCUMENT", "OUTCOME", "REASON")
+		for _, v := range body.Verdicts {
+			t.row(v.Offset, v.Time.Format(time.RFC3339), v.Author, v.Document, v.Outcome, v.Reason)
+		}
+		return t.print(c.stdout)
+	})
 }
 
 func usageOf(ctx context.Context, c *command) error {
@@ -243,42 +242,34 @@
 		Hosts   []string     `json:"hosts"`
 		Missing []string     `json:"missing"`
 	}
-	if err := c.client.get(ctx, "/v1/usage", url.Values{"account": {account}}, &body); err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(body)
-	}
-	t := newTable("ACCOUNT", "RANK", "ASKED", "ADMITTED", "REFUSED", "IN-TIME", "LATE", "FAILED", "HIT-RATE", "P95-FIRST-TOKEN")
-	for i := range body.Lines {
-		l := &body.Lines[i]
-		t.row(l.Account, l.Rank, l.Asked, l.Admitted, reasons(l.Refused), l.InTime, l.Late, l.Failed,
-			fmt.Sprintf("%.1f%%", 100*l.HitRate()), "<="+l.FirstTokenQuantile(0.95).String())
-	}
-	if err := t.print(c.stdout); err != nil {
-		return err
-	}
-	if len(body.Missing) > 0 {
-		return c.printf("hosts that did not answer: %s\n", strings.Join(body.Missing, ", "))
-	}
-	return nil
+	return c.show(ctx, "/v1/usage", url.Values{"account": {account}}, &body, func() error {
+		t := newTable("ACCOUNT", "RANK", "ASKED", "ADMITTED", "REFUSED", "IN-TIME", "LATE", "FAILED", "HIT-RATE", "P95-FIRST-TOKEN")
+		for i := range body.Lines {
+			l := &body.Lines[i]
+			t.row(l.Account, l.Rank, l.Asked, l.Admitted, reasons(l.Refused), l.InTime, l.Late, l.Failed,
+				fmt.Sprintf("%.1f%%", 100*l.HitRate()), "<="+l.FirstTokenQuantile(0.95).String())
+		}
+		if err := t.print(c.stdout); err != nil {
+			return err
+		}
+		if len(body.Missing) > 0 {
+			return c.printf("hosts that did not answer: %s\n", strings.Join(body.Missing, ", "))
+		}
+		return nil
+	})
 }
 
 func hosts(ctx context.Context, c *command) error {
 	var body struct {
 		Hosts []member.Host `json:"hosts"`
 	}
-	if err := c.client.get(ctx, "/v1/hosts", nil, &body); err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(body)
-	}
-	t := newTable("HOST", "FAILURE-DOMAIN", "ADDRESS", "STATE", "LISTED")
-	for _, h := range body.Hosts {
-		t.row(h.Name, h.FailureDomain, h.Address, h.State, h.Listed)
-	}
-	return t.print(c.stdout)
+	return c.show(ctx, "/v1/hosts", nil, &body, func() error {
+		t := newTable("HOST", "FAILURE-DOMAIN", "ADDRESS", "STATE", "LISTED")
+		for _, h := range body.Hosts {
+			t.row(h.Name, h.FailureDomain, h.Address, h.State, h.Listed)
+		}
+		return t.print(c.stdout)
+	})
 }
 
 func endpoints(ctx context.Context, c *command) error {
@@ -290,17 +281,13 @@
 			Status        health.Status `json:"status"`
 		} `json:"endpoints"`
 	}
-	if err := c.client.get(ctx, "/v1/endpoints", nil, &body); err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(body)
-	}
-	t := newTable("ENDPOINT", "FAILURE-DOMAIN", "KIND", "STATE", "RUNNING", "QUEUED-TOKENS", "WEIGHTS")
-	for _, e := range body.Endpoints {
-		t.row(e.Name, e.FailureDomain, e.Kind, e.Status.State, e.Status.Running(), e.Status.QueuedTokens(), weights(e.Status.Report.Weights))
-	}
-	return t.print(c.stdout)
+	return c.show(ctx, "/v1/endpoints", nil, &body, func() error {
+		t := newTable("ENDPOINT", "FAILURE-DOMAIN", "KIND", "STATE", "RUNNING", "QUEUED-TOKENS", "WEIGHTS")
+		for _, e := range body.Endpoints {
+			t.row(e.Name, e.FailureDomain, e.Kind, e.Status.State, e.Status.Running(), e.Status.QueuedTokens(), weights(e.Status.Report.Weights))
+		}
+		return t.print(c.stdout)
+	})
 }
 
 func snapshot(ctx context.Context, c *command) error {
