Test replays, workloads and the one send of an order on their own

Cause: the load tool and the wire of orders were covered by whole-system tests only. Change: replays repeat exactly and lose nothing in a crash; one send is one connection and one request, also when the service cuts it; telling peers of a suspect waits 200 ms at most.

--- /dev/null
+++ b/loads/replay/replay_test.go
@@ -0,0 +1,75 @@
+package replay_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/core/coord/route"
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/loads/drive"
+	"cicadastand.dev/loads/plan"
+	"cicadastand.dev/loads/replay"
+)
+
+func workload() *plan.Workload {
+	w := plan.Defaults()
+	w.Duration = 10 * time.Second
+	w.Routers = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
+	w.Streams = []plan.Stream{{
+		Name: "consults", Kind: plan.Completion, Account: "a", Rank: fleet.RankUrgent, Rate: 100, Model: "m", WeightsVersion: "v1", MaxTokens: 60,
+		CataloguePieces: 3, Customers: 50, CustomerPieces: 1, Zipf: 1, Conversations: 2, ConversationPieces: 1,
+	}}
+	return &w
+}
+
+func run(t *testing.T, change func(*replay.Config)) replay.Result {
+	w := workload()
+	cfg := replay.DefaultConfig()
+	cfg.WarmUp = 3 * time.Second
+	change(&cfg)
+	r, err := replay.Run(cfg, w.Requests())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func hitRate(r replay.Result) float64 {
+	prompt, cached := 0, 0
+	for _, s := range r.Samples {
+		prompt += s.PromptTokens
+		cached += s.CachedTokens
+	}
+	return float64(cached) / float64(prompt)
+}
+
+// TestDecisionsOnAClockOfTheirOwn runs the router's decisions without a network
+// and without the machine's time; the same requests always end the same way.
+func TestDecisionsOnAClockOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	asIs := func(*replay.Config) {}
+	first, second := run(t, asIs), run(t, asIs)
+	is.Equal(first, second)
+	for _, s := range first.Samples {
+		is.Equal(s.Outcome, drive.Right)
+	}
+}
+
+func TestPlacementBeatsTheBaselines(t *testing.T) {
+	is := is.New(t)
+	own := hitRate(run(t, func(*replay.Config) {}))
+	for _, name := range []string{route.NameRoundRobin, route.NameLeastLoad} {
+		is.True(own > hitRate(run(t, func(c *replay.Config) { c.Policy = name })))
+	}
+}
+
+func TestCrashAndRestartLoseNoRequest(t *testing.T) {
+	is := is.New(t)
+	whole := run(t, func(*replay.Config) {})
+	faulty := run(t, func(c *replay.Config) { c.CrashAt, c.RestartAt = 4*time.Second, 6*time.Second })
+	is.Equal(len(faulty.Samples), len(whole.Samples))
+	is.True(faulty.Sends > whole.Sends) // what was lost in the crash was sent again
+}
--- /dev/null
+++ b/router/order/wire_test.go
@@ -0,0 +1,58 @@
+package order
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/core/trans/dials"
+)
+
+// TestOneShotSendsOnce has a service read each request and cut the connection,
+// which makes an ordinary transport send a request with a key again.
+func TestOneShotSendsOnce(t *testing.T) {
+	is := is.New(t)
+	var arrived, connections atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	e := fleet.Endpoint{Name: "s", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	req := &Request{ID: "x", Account: "a", Method: http.MethodPost, Path: "/orders", Key: "k", Body: []byte("{}")}
+	for range 20 {
+		shot, err := dialOnce(context.Background(), dials.From(netip.Addr{}), e.Address)
+		is.NoErr(err)
+		_, err = shot.send(context.Background(), req, e, 1)
+		is.True(err != nil)
+		_, err = shot.send(context.Background(), req, e, 1)
+		is.True(err != nil) // a second send has no connection
+		shot.close()
+	}
+	is.Equal(arrived.Load(), int64(20))
+	is.Equal(connections.Load(), int64(20))
+}
+
+func TestKeyCreated(t *testing.T) {
+	is := is.New(t)
+	at, err := keyCreated(&Request{Key: "0190a0a0-0000-7000-8000-000000000000"})
+	is.NoErr(err)
+	is.Equal(at.UnixMilli(), int64(0x0190a0a00000))
+	for _, bad := range []*Request{{}, {Key: "k"}, {Key: "k", KeyCreated: "yesterday"}, {Key: "f47ac10b-58cc-4372-a567-0e02b2c3d479"}} {
+		_, err := keyCreated(bad)
+		is.True(err != nil)
+	}
+}
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -59,6 +59,7 @@
 
 const (
 	callTimeout     = time.Second
+	alarmTimeout    = 200 * time.Millisecond
 	demandEvery     = time.Second
 	maxSuspects     = 64
 	maxEndpointNews = 64
@@ -164,8 +165,13 @@
 	s.exchangeWith(ctx, s.addresses())
 }
 
-// Suspect tells the peers of a suspect without delay.
-func (s *Service) Suspect(ctx context.Context, _ poison.Suspect) { s.exchangeWith(ctx, s.addresses()) }
+// Suspect tells the peers of a suspect before its request is sent again or
+// refused. Peers that don't answer soon learn of it in a later exchange.
+func (s *Service) Suspect(ctx context.Context, _ poison.Suspect) {
+	ctx, cancel := clock.WithTimeout(ctx, s.cfg.Clock, alarmTimeout)
+	defer cancel()
+	s.exchangeWith(ctx, s.addresses())
+}
 
 // exchangeWith swaps digests with peers and waits for all of them.
 func (s *Service) exchangeWith(ctx context.Context, peers []netip.AddrPort) {
