Take claims again once those that were missed are out of their window

Cause: reading the code: a host that found claims trimmed refused new ones until its next start, though the pages say until the window has passed; and the engine stand-in kept load reports over a crash, as no restarted process would. Change: the time from which on the missed claims can't matter is kept and compared.

--- a/core/coord/claim/claim_test.go
+++ b/core/coord/claim/claim_test.go
@@ -23,6 +23,7 @@
 type fakeLog struct {
 	mu      sync.Mutex
 	target  *claim.Coordinator
+	clock   *clock.Fake
 	offset  uint64
 	appends int
 	lose    int
@@ -37,7 +38,7 @@
 		return 0, errors.New("down")
 	}
 	l.offset++
-	l.target.Apply([]stream.Record{{Offset: l.offset, Time: start, Data: data}})
+	l.target.Apply([]stream.Record{{Offset: l.offset, Time: l.clock.Now(), Data: data}})
 	if l.lose > 0 {
 		l.lose--
 		return 0, errors.New("answer lost")
@@ -55,7 +56,7 @@
 func newCoordinator(t *testing.T, log *fakeLog) (*claim.Coordinator, *clock.Fake) {
 	fake := clock.NewFake(start)
 	c := claim.New(claim.Config{Clock: fake, Log: log, Ledger: ledger.DefaultConfig(), Logger: hclog.NewNullLogger()})
-	log.target = c
+	log.target, log.clock = c, fake
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.Run(ctx) }()
@@ -164,3 +165,21 @@
 	done.Wait()
 	is.True(log.appends-before <= 4)
 }
+
+func TestMissedClaimsHoldUpNewOnes(t *testing.T) {
+	is := is.New(t)
+	log := &fakeLog{offset: 9}
+	c, fake := newCoordinator(t, log)
+	c.Trimmed(10)
+	_, err := c.Begin(context.Background(), call("k"))
+	is.True(claim.IsErrNotRun(err)) // what was trimmed may still be in its window
+	c.Apply([]stream.Record{{Offset: 10, Time: start, Data: []byte("[]")}})
+	log.offset = 10
+	is.True(c.Stats().Short)
+	fake.Advance(ledger.Window + ledger.Skew)
+	is.True(!c.Stats().Short)
+	fresh := call("k")
+	fresh.Created = fake.Now()
+	_, err = c.Begin(context.Background(), fresh)
+	is.NoErr(err)
+}
--- a/core/coord/claim/coordinator.go
+++ b/core/coord/claim/coordinator.go
@@ -58,8 +58,10 @@
 	inFlight int
 	wake     chan struct{}
 	idle     chan struct{}
-	short    bool
-	first    uint64
+	// first is the oldest offset that the log still had when records were missed,
+	// and safeAt the time from which on no claim that was missed is in its window.
+	first  uint64
+	safeAt time.Time
 }
 
 // New returns a coordinator that has read nothing.
@@ -106,7 +108,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.short {
+	if c.isShort() {
 		return nil, &ErrNotRun{Proof: NotRun{Attempt: rec.Attempt}, Reason: "the log keeps claims for too short a time"}
 	}
 	if err := c.refuse(rec, c.table.Judge(rec, c.cfg.Clock.Now())); err != nil {
@@ -197,7 +199,7 @@
 func (c *Coordinator) Stats() Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Stats{Keys: c.table.Len(), Attempts: len(c.attempts), Queued: len(c.queue) + c.inFlight, Next: c.next, Short: c.short}
+	return Stats{Keys: c.table.Len(), Attempts: len(c.attempts), Queued: len(c.queue) + c.inFlight, Next: c.next, Short: c.isShort()}
 }
 
 func (c *Coordinator) watch(id ledger.ID) chan struct{} {
@@ -238,21 +240,21 @@
 	}
 }
 
-// checkRetention refuses new claims while claims that are still in their window
-// may have been trimmed before this host read them.
+// checkRetention notes how long claims that were trimmed before this host read
+// them may still be in their window: they are older than the first one kept.
 func (c *Coordinator) checkRetention(r stream.Record) {
 	if r.Offset == c.first {
-		c.short = true
-	}
-	if !c.short {
-		return
-	}
-	age := c.cfg.Clock.Now().Sub(r.Time)
-	if r.Offset == c.first && age >= c.cfg.Ledger.Window+c.cfg.Ledger.Skew {
-		c.short = false
+		c.safeAt = r.Time.Add(c.cfg.Ledger.Window + c.cfg.Ledger.Skew)
 	}
 }
 
+// isShort reports whether claims that this host has not read may be in their
+// window, so that no new claim can be judged; the caller holds the lock.
+func (c *Coordinator) isShort() bool {
+	trimmed := c.first > 0 && c.next == c.first
+	return trimmed || c.cfg.Clock.Now().Before(c.safeAt)
+}
+
 func (c *Coordinator) fold(r stream.Record) {
 	records, err := ledger.DecodeBatch(r.Data)
 	if err != nil {
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -176,7 +176,7 @@
 func (e *Engine) reset() {
 	e.incarnation = uuid.NewString()
 	e.life, e.kill = context.WithCancel(context.Background())
-	e.events = nil
+	e.events, e.reports = nil, nil
 	e.cache = expirable.NewLRU(e.cfg.CachePieces, e.evicted(e.incarnation), e.cfg.CacheLife)
 }
 
