--- /dev/null
+++ b/suite/publish_history_test.go
@@ -0,0 +1,195 @@
+package suite
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"cicadastand.dev/core/state/conf"
+	"cicadastand.dev/core/state/fleet"
+	"cicadastand.dev/stand/fault"
+)
+
+// casInput and casOutput are a publication, for the history.
+type casInput struct{ base uint64 }
+
+type casOutput struct {
+	accepted bool
+	version  uint64
+}
+
+// casModel is the version of one document: a change from the current version is
+// accepted, any other is stale.
+var casModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(state, input, output any) []any {
+		version, in, out := state.(uint64), input.(casInput), output.(casOutput)
+		switch {
+		case out.accepted && in.base == version:
+			return []any{out.version}
+		case out.accepted:
+			return nil
+		case in.base != version:
+			return []any{version}
+		default:
+			return nil
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// TestPublishHistories lets operators race on one contract at hosts whose log
+// loses answers, and checks the verdicts, and that no host ever goes back.
+func TestPublishHistories(t *testing.T) {
+	for seed := range historySeeds() {
+		t.Run(fmt.Sprintf("seed=%d", seed+1), func(t *testing.T) {
+			w := newWorld(t, uint64(seed+1))
+			defer w.close()
+			r := &publishRun{t: t, w: w, rng: rand.New(rand.NewPCG(uint64(seed+1), 1))}
+			r.run()
+		})
+	}
+}
+
+type publishRun struct {
+	t       *testing.T
+	w       *world
+	mu      sync.Mutex
+	rng     *rand.Rand
+	hosts   []*host
+	history []porcupine.Operation
+}
+
+func (r *publishRun) intN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.IntN(n)
+}
+
+func (r *publishRun) run() {
+	for range runHosts {
+		r.hosts = append(r.hosts, newHost(r.w))
+	}
+	r.publishFleet()
+	stop := make(chan struct{})
+	var watchers, operators sync.WaitGroup
+	for _, h := range r.hosts {
+		watchers.Go(func() { r.watch(h, stop) })
+	}
+	watchers.Go(func() { r.chaos(stop) })
+	for id := range 4 {
+		operators.Go(func() { r.operator(id) })
+	}
+	operators.Wait()
+	close(stop)
+	watchers.Wait()
+	r.w.platform.Faults().Set(fault.Switches{})
+	r.agree()
+	for _, h := range r.hosts {
+		h.kill()
+	}
+	if !porcupine.CheckOperations(casModel.ToModel(), r.history) {
+		r.t.Errorf("verdicts don't fit one order of changes: %v", r.history)
+	}
+}
+
+func (r *publishRun) publishFleet() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	v, err := r.hosts[0].publish.Publish(ctx, conf.Change{Document: "fleet", Text: "services: [{name: shop}]\n"})
+	if err != nil || v.Outcome != conf.Accepted {
+		r.t.Fatal(v.Reason, err)
+	}
+	r.agree()
+}
+
+func (r *publishRun) chaos(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(15 * time.Millisecond):
+			r.w.platform.Faults().Set(fault.Switches{LoseAnswerNext: r.intN(3), RefuseNext: r.intN(2), DelayMs: r.intN(20)})
+		}
+	}
+}
+
+// watch makes sure that what a host has in force never goes back.
+func (r *publishRun) watch(h *host, stop <-chan struct{}) {
+	var last uint64
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Millisecond):
+		}
+		if now := h.store.Offset(); now < last {
+			r.t.Errorf("a host went back from %d to %d", last, now)
+		} else {
+			last = now
+		}
+	}
+}
+
+func (r *publishRun) operator(id int) {
+	for range 6 {
+		h := r.hosts[r.intN(runHosts)]
+		base := current(h)
+		text := fmt.Sprintf("account: a\nkey-hashes: [%s]\nweight: %d\nservices: [shop]\n", fleet.HashKey("k"), 1+r.intN(9))
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		start := time.Now()
+		v, err := h.publish.Publish(ctx, conf.Change{Document: "contract/a", Base: base, Author: fmt.Sprint(id), Text: text})
+		end := time.Now()
+		cancel()
+		if err != nil {
+			r.t.Errorf("publication without a verdict: %v", err)
+			return
+		}
+		if v.Outcome == conf.Invalid {
+			r.t.Errorf("a valid change was refused: %s", v.Reason)
+		}
+		r.mu.Lock()
+		r.history = append(r.history, porcupine.Operation{
+			ClientId: id, Input: casInput{base: base}, Output: casOutput{accepted: v.Outcome == conf.Accepted, version: v.Version},
+			Call: start.UnixNano(), Return: end.UnixNano(),
+		})
+		r.mu.Unlock()
+	}
+}
+
+func current(h *host) uint64 {
+	var v uint64
+	h.store.Read(func(s *conf.State) {
+		d, _ := s.Document("contract/a")
+		v = d.Version
+	})
+	return v
+}
+
+// agree makes sure that all hosts end with the same documents and verdicts.
+func (r *publishRun) agree() {
+	top := uint64(0)
+	for _, h := range r.hosts {
+		top = max(top, h.store.Offset())
+	}
+	var states []string
+	for _, h := range r.hosts {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		err := h.store.Wait(ctx, func(s *conf.State) bool { return s.Offset() >= top })
+		cancel()
+		if err != nil {
+			r.t.Error(err)
+		}
+		h.store.Read(func(s *conf.State) { states = append(states, fmt.Sprint(s.Documents(), s.History())) })
+	}
+	for _, s := range states[1:] {
+		if s != states[0] {
+			r.t.Errorf("hosts disagree:\n%s\n%s", states[0], s)
+		}
+	}
+}
