Time the stand-ins' delays by the timer service, and tidy what stood twice

Cause: the last look found a wall clock outside of the timer service, three calls of cicadactl alike, and a test file with two jobs. Change: fault switches take the timer service; one method posts a change; the values that scripts look at have a file of their own.

--- a/opctl/cli/commands.go
+++ b/opctl/cli/commands.go
@@ -76,8 +76,8 @@
 	if err != nil {
 		return err
 	}
-	var v conf.Verdict
-	if err := c.client.post(ctx, "/v1/changes/check", changeBody{Document: name, Base: base, Text: text}, &v); err != nil {
+	v, err := c.post(ctx, "/v1/changes/check", changeBody{Document: name, Base: base, Text: text})
+	if err != nil {
 		return err
 	}
 	return c.verdict(v, "valid, version in force is %d\n", v.Version)
@@ -106,8 +106,8 @@
 	if err != nil {
 		return refusedLocally(path, err)
 	}
-	var v conf.Verdict
-	if err := c.client.post(ctx, "/v1/changes", changeBody{Document: name, Base: base, Text: text}, &v); err != nil {
+	v, err := c.post(ctx, "/v1/changes", changeBody{Document: name, Base: base, Text: text})
+	if err != nil {
 		return err
 	}
 	return c.verdict(v, "%s is at version %d\n", v.Document, v.Version)
@@ -122,13 +122,20 @@
 	if err != nil {
 		return err
 	}
-	var v conf.Verdict
-	if err := c.client.post(ctx, "/v1/changes", changeBody{Document: name, Base: base, Remove: true}, &v); err != nil {
+	v, err := c.post(ctx, "/v1/changes", changeBody{Document: name, Base: base, Remove: true})
+	if err != nil {
 		return err
 	}
 	return c.verdict(v, "%s is removed\n", v.Document)
 }
 
+// post sends a change and returns what became of it.
+func (c *command) post(ctx context.Context, path string, change changeBody) (conf.Verdict, error) {
+	var v conf.Verdict
+	err := c.client.post(ctx, path, change, &v)
+	return v, err
+}
+
 // verdict prints what became of a change.
 func (c *command) verdict(v conf.Verdict, format string, args ...any) error {
 	if c.json {
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -126,7 +126,7 @@
 func New(cfg Config) *Engine {
 	e := &Engine{
 		cfg:      cfg,
-		faults:   fault.NewBoard(cfg.Seed),
+		faults:   fault.NewBoard(cfg.Clock, cfg.Seed),
 		slots:    newLane(cfg.Slots),
 		prefill:  newLane(1),
 		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
--- a/stand/fault/fault.go
+++ b/stand/fault/fault.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"cicadastand.dev/core/state/clock"
 )
 
 // Switches are the faults of a stand-in. Counted faults hit the next calls only.
@@ -40,11 +42,13 @@
 	mu  sync.Mutex
 	now Switches
 	rng *rand.Rand
+	// clock times the delays.
+	clock clock.Service
 }
 
 // NewBoard returns a board without faults and with a fixed seed.
-func NewBoard(seed uint64) *Board {
-	return &Board{rng: rand.New(rand.NewPCG(seed, seed))}
+func NewBoard(service clock.Service, seed uint64) *Board {
+	return &Board{clock: service, rng: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // Get returns the switches.
@@ -98,8 +102,10 @@
 	if wait <= 0 {
 		return
 	}
+	sub := b.clock.Once(wait)
+	defer sub.Stop()
 	select {
-	case <-time.After(wait):
+	case <-sub.C():
 	case <-r.Context().Done():
 	}
 }
--- a/stand/platform/platform.go
+++ b/stand/platform/platform.go
@@ -65,7 +65,7 @@
 func New(cfg Config) *Platform {
 	return &Platform{
 		cfg:     cfg,
-		faults:  fault.NewBoard(cfg.Seed),
+		faults:  fault.NewBoard(cfg.Clock, cfg.Seed),
 		limiter: rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond), appendBurst),
 		streams: make(map[string]*log),
 		pieces:  expirable.NewLRU[string, struct{}](keptPieces, nil, keptLife),
--- a/stand/service/service.go
+++ b/stand/service/service.go
@@ -65,7 +65,7 @@
 
 // New returns a service without orders.
 func New(cfg Config) *Service {
-	return &Service{cfg: cfg, faults: fault.NewBoard(cfg.Seed), byKey: make(map[string]*Execution)}
+	return &Service{cfg: cfg, faults: fault.NewBoard(cfg.Clock, cfg.Seed), byKey: make(map[string]*Execution)}
 }
 
 // Handler returns the HTTP interface.
--- a/suite/capacity/measure.go
+++ b/suite/capacity/measure.go
@@ -207,11 +207,12 @@
 }
 
 func members(n int, self string) *member.Table {
+	now := clock.New().Now()
 	t := member.New(member.DefaultConfig(member.Host{Name: self, FailureDomain: "domain-1"}))
 	for i := range n {
-		t.Heard(member.Host{Name: fmt.Sprintf("node-%03d", i), FailureDomain: "domain-1", Address: netip.MustParseAddrPort("10.0.0.1:7300")}, false, time.Now())
+		t.Heard(member.Host{Name: fmt.Sprintf("node-%03d", i), FailureDomain: "domain-1", Address: netip.MustParseAddrPort("10.0.0.1:7300")}, false, now)
 	}
-	t.Review(time.Now())
+	t.Review(now)
 	return t
 }
 
--- a/suite/edge_test.go
+++ b/suite/edge_test.go
@@ -202,7 +202,7 @@
 		return nil
 	}))
 	serial := callTLS(t, a, s)
-	time.Sleep(20 * time.Millisecond)
+	time.Sleep(20 * time.Millisecond) // file times tell the old key from the new one
 	a.sign("r1", s.direct["r1"].Addr().AsSlice())
 	is.True(callTLS(t, a, s).Cmp(serial) != 0) // the new key is in force without a restart
 
--- /dev/null
+++ b/suite/expect_test.go
@@ -0,0 +1,168 @@
+package suite
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"cicadastand.dev/core/proto/engine"
+	stand "cicadastand.dev/stand/engine"
+)
+
+// cmdExpect checks a value: expect WHAT VALUE, where WHAT is a path such as
+// answer.state, executions.KEY, r1.config, e1.crashes; VALUE may begin with < or >.
+func cmdExpect(ts *testscript.TestScript, sc *scene, args []string) error {
+	if len(args) != 2 {
+		return fmt.Errorf("expect WHAT VALUE")
+	}
+	return sc.expect(args[0], os.Expand(args[1], ts.Getenv))
+}
+
+// cmdEventually repeats an expectation: eventually WITHIN WHAT VALUE.
+func cmdEventually(ts *testscript.TestScript, sc *scene, args []string) error {
+	within, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	return sc.site.eventually(within, func() error { return sc.expect(args[1], os.Expand(args[2], ts.Getenv)) })
+}
+
+func (sc *scene) expect(what, want string) error {
+	got, err := sc.value(what)
+	if err != nil {
+		return err
+	}
+	ok := got == want
+	if want != "" && (want[0] == '<' || want[0] == '>') {
+		g, err1 := strconv.ParseFloat(got, 64)
+		w, err2 := strconv.ParseFloat(want[1:], 64)
+		ok = err1 == nil && err2 == nil && (want[0] == '<' && g < w || want[0] == '>' && g > w)
+	}
+	if !ok {
+		return fmt.Errorf("%s is %q, not %q", what, got, want)
+	}
+	return nil
+}
+
+func (sc *scene) value(what string) (string, error) {
+	of, field, ok := strings.Cut(what, ".")
+	if !ok {
+		return "", fmt.Errorf("no value is called %s", what)
+	}
+	if of == "executions" {
+		counts, err := sc.site.executions()
+		return strconv.Itoa(counts[field]), err
+	}
+	if of == "crashes" {
+		return sc.sumOverEngines(func(st stand.Stats) int { return st.Crashes })
+	}
+	if of == "imported" {
+		return sc.sumOverEngines(func(st stand.Stats) int { return st.Imported })
+	}
+	if _, ok := sc.site.opers[of]; ok {
+		return sc.routerValue(of, field)
+	}
+	if _, ok := sc.site.direct[of]; ok {
+		return sc.engineValue(of, field)
+	}
+	sc.mu.Lock()
+	a, ok := sc.answers[of]
+	sc.mu.Unlock()
+	if !ok {
+		return "", errNoAnswer
+	}
+	return a.value(field)
+}
+
+func (a answer) value(field string) (string, error) {
+	switch field {
+	case "state":
+		if a.State == "lost" && a.Body != "" {
+			return a.State + ": " + a.Body, nil
+		}
+		return a.State, nil
+	case "code":
+		return a.Code, nil
+	case "status":
+		return strconv.Itoa(a.Status), nil
+	case "source":
+		return a.Source, nil
+	case "cached":
+		return strconv.Itoa(a.Cached), nil
+	case "events":
+		return strconv.Itoa(a.Events), nil
+	case "ms":
+		return strconv.FormatInt(a.Took.Milliseconds(), 10), nil
+	default:
+		return "", fmt.Errorf("an answer has no %s", field)
+	}
+}
+
+func (sc *scene) routerValue(name, field string) (string, error) {
+	st, err := sc.site.dump(name)
+	if err != nil {
+		return "", err
+	}
+	switch {
+	case field == "config":
+		return strconv.FormatUint(st.ConfigOffset, 10), nil
+	case field == "source":
+		return st.ConfigSource, nil
+	case field == "queued-claims":
+		return strconv.Itoa(st.Claims.Queued), nil
+	case field == "claims-short":
+		return strconv.FormatBool(st.Claims.Short), nil
+	case strings.HasPrefix(field, "host."):
+		for _, h := range st.Hosts {
+			if h.Name == strings.TrimPrefix(field, "host.") {
+				return string(h.State), nil
+			}
+		}
+		return "unknown", nil
+	case strings.HasPrefix(field, "endpoint."):
+		return string(st.Endpoints[strings.TrimPrefix(field, "endpoint.")].State), nil
+	case strings.HasPrefix(field, "version."):
+		v, err := sc.site.version(name, strings.TrimPrefix(field, "version."))
+		return strconv.FormatUint(v, 10), err
+	default:
+		return "", fmt.Errorf("a router has no %s", field)
+	}
+}
+
+func (sc *scene) sumOverEngines(of func(stand.Stats) int) (string, error) {
+	sum := 0
+	for i := range sc.site.opts.Engines {
+		st, err := sc.site.engineStats(fmt.Sprintf("e%d", i+1))
+		if err != nil {
+			return "", err
+		}
+		sum += of(st)
+	}
+	return strconv.Itoa(sum), nil
+}
+
+func (sc *scene) engineValue(name, field string) (string, error) {
+	st, err := sc.site.engineStats(name)
+	if err != nil {
+		return "", err
+	}
+	switch field {
+	case "crashes":
+		return strconv.Itoa(st.Crashes), nil
+	case "served":
+		return strconv.Itoa(len(st.Served)), nil
+	case "weights":
+		var load engine.Load
+		err := sc.site.control(name, http.MethodGet, "/v1/load", nil, &load)
+		return load.Weights["advice"], err
+	case "violations":
+		return strconv.Itoa(st.Violations), nil
+	default:
+		return "", fmt.Errorf("an engine has no %s", field)
+	}
+}
--- a/suite/history_test.go
+++ b/suite/history_test.go
@@ -61,7 +61,7 @@
 	svc := service.New(service.Config{Clock: clock.New(), Work: time.Millisecond, Seed: seed})
 	ss := httptest.NewServer(svc.Handler())
 	w := &world{platform: p, platformAddr: addressOf(ps), service: ss, servers: []*httptest.Server{ps, ss}}
-	w.faults = fault.NewBoard(seed)
+	w.faults = fault.NewBoard(clock.New(), seed)
 	state := conf.New()
 	text := fmt.Sprintf("services: [{name: shop, status-path: \"/orders/{key}\"}]\nendpoints: [{name: s1, failure-domain: d, kind: service, serves: [shop], address: %q}]\n", addressOf(ss))
 	rec := conf.Record{Kind: conf.KindChange, ID: "x", Change: &conf.Change{Document: "fleet", Text: text}}
