--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 generate:
 	cd core && protoc --go_out=. --go_opt=module=cicadastand.dev/core \
-		--go-grpc_out=. --go-grpc_opt=module=cicadastand.dev/core proto/peerpb/peer.proto
+		--go-grpc_out=. --go-grpc_opt=module=cicadastand.dev/core proto/peerpb/peer.proto proto/loadpb/load.proto
 
 run: build
 	scripts/demo.sh bin/cicada-load run -workload samples/workload.yaml -report out/report
--- /dev/null
+++ b/core/coord/lease/lease.go
@@ -0,0 +1,99 @@
+// Package lease decides when this host may act as the only holder in the system.
+//
+// It answers races: the host that stops, freezes or is cut off while it holds,
+// and the many hosts that see the same work at the same moment. A holder counts
+// its time from before its append was sent, the others count theirs from when
+// they learnt of the append, so their times can't overlap. All times are on a
+// clock that counts suspended time.
+package lease
+
+import (
+	"time"
+
+	"cicadastand.dev/core/proto/feed"
+)
+
+// marginShare is the part of the lease at its end in which nothing is started:
+// what was sent has to arrive in time.
+const marginShare = 0.2
+
+// Config says who competes for the lease, and for how long it is given.
+type Config struct {
+	Host     string
+	Duration time.Duration
+}
+
+// Lease is what the host knows of the lease. It is not safe for concurrent use.
+type Lease struct {
+	cfg    Config
+	known  bool
+	grant  feed.Grant
+	learnt time.Duration
+	// until is when this host stops; 0 if it does not hold.
+	until time.Duration
+	// asked and sent are those of an append whose outcome is open.
+	asked string
+	sent  time.Duration
+}
+
+// New returns a lease of which nothing is known.
+func New(cfg Config) *Lease { return &Lease{cfg: cfg} }
+
+// Known reports whether the last grant was read.
+func (l *Lease) Known() bool { return l.known }
+
+// End is the offset at which the next grant has to stand.
+func (l *Lease) End() int64 { return l.grant.End }
+
+// Learn takes the last grant, as a read showed it that ended at now.
+func (l *Lease) Learn(g feed.Grant, now time.Duration) {
+	if l.known && g.End <= l.grant.End {
+		return
+	}
+	l.known = true
+	l.grant = g
+	l.learnt = now
+	l.until = 0
+	if g.Nonce != "" && g.Nonce == l.asked {
+		l.hold(l.sent)
+	}
+}
+
+// Asked notes that an append is about to be sent, by which its grant counts.
+func (l *Lease) Asked(nonce string, sent time.Duration) { l.asked, l.sent = nonce, sent }
+
+// Open notes that the outcome of the append is open: the log has to be read.
+func (l *Lease) Open() {
+	l.known = false
+	l.until = 0
+}
+
+// Won notes that the append was the next one on the log.
+func (l *Lease) Won() {
+	l.known = true
+	l.grant = feed.Grant{End: l.grant.End + 1, Holder: l.cfg.Host, Nonce: l.asked}
+	l.hold(l.sent)
+}
+
+func (l *Lease) hold(sent time.Duration) {
+	l.learnt = sent
+	l.until = sent + l.cfg.Duration - time.Duration(marginShare*float64(l.cfg.Duration))
+}
+
+// Holds reports whether this host may act at now.
+func (l *Lease) Holds(now time.Duration) bool { return now < l.until }
+
+// Wait returns how long this host has to wait before it may ask for the lease.
+// The host that had it last need not wait.
+func (l *Lease) Wait(now time.Duration) time.Duration {
+	if l.grant.End == 0 || l.grant.Holder == l.cfg.Host && l.until > 0 {
+		return 0
+	}
+	return max(0, l.learnt+l.cfg.Duration-now)
+}
+
+// WasLast reports whether this process had the lease last.
+func (l *Lease) WasLast() bool { return l.grant.Holder == l.cfg.Host && l.until > 0 }
+
+// Fence is the fencing token of the lease that this host holds.
+func (l *Lease) Fence() int64 { return l.grant.End }
--- /dev/null
+++ b/core/coord/load/load.go
@@ -0,0 +1,142 @@
+// Package load tracks the work that all hosts have at each endpoint.
+//
+// An endpoint's own report is some hundred milliseconds old and costs a call, so
+// hosts tell each other what they have sent instead. The sum errs only by what
+// was sent since the last exchange.
+package load
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// Work is what waits and runs at an endpoint.
+type Work struct {
+	// Waiting requests have not answered yet, Running ones have begun to.
+	Waiting int
+	Running int
+	// Tokens is how much prompt the waiting requests still need read.
+	Tokens int
+}
+
+// Add returns the sum of two amounts of work.
+func (w Work) Add(o Work) Work {
+	return Work{Waiting: w.Waiting + o.Waiting, Running: w.Running + o.Running, Tokens: w.Tokens + o.Tokens}
+}
+
+// Requests returns how many requests are at the endpoint.
+func (w Work) Requests() int { return w.Waiting + w.Running }
+
+// Table holds this host's work and what peers have told. It is safe for
+// concurrent use.
+//
+// Lock order: Table.mu is a leaf.
+type Table struct {
+	// forgetAfter is when a silent peer's work no longer counts.
+	forgetAfter time.Duration
+	mu          sync.Mutex
+	own         map[string]Work
+	peers       map[string]peer
+}
+
+type peer struct {
+	heard time.Duration
+	work  map[string]Work
+}
+
+// New returns an empty table that forgets a peer after a time without word of it.
+func New(forgetAfter time.Duration) *Table {
+	return &Table{forgetAfter: forgetAfter, own: make(map[string]Work), peers: make(map[string]peer)}
+}
+
+// Ticket is one request at an endpoint.
+type Ticket struct {
+	table    *Table
+	endpoint string
+	work     Work
+}
+
+// Begin notes a request that is sent with tokens of prompt to be read.
+func (t *Table) Begin(endpoint string, tokens int) *Ticket {
+	k := &Ticket{table: t, endpoint: endpoint}
+	k.change(Work{Waiting: 1, Tokens: tokens})
+	return k
+}
+
+// Started notes that the endpoint has begun to answer.
+func (k *Ticket) Started() {
+	if k.work.Waiting > 0 {
+		k.change(Work{Running: 1})
+	}
+}
+
+// End notes that the request is no longer at the endpoint.
+func (k *Ticket) End() { k.change(Work{}) }
+
+func (k *Ticket) change(to Work) {
+	t := k.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.own[k.endpoint].Add(to)
+	w.Waiting -= k.work.Waiting
+	w.Running -= k.work.Running
+	w.Tokens -= k.work.Tokens
+	k.work = to
+	if w == (Work{}) {
+		delete(t.own, k.endpoint)
+		return
+	}
+	t.own[k.endpoint] = w
+}
+
+// Own returns this host's work.
+func (t *Table) Own() map[string]Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.own)
+}
+
+// Told takes what a peer has at endpoints.
+func (t *Table) Told(host string, work map[string]Work, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[host] = peer{heard: now, work: work}
+}
+
+// Left forgets a peer that stops.
+func (t *Table) Left(host string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, host)
+}
+
+// Peers returns how many peers were heard of lately.
+func (t *Table) Peers(now time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	return len(t.peers)
+}
+
+// At returns the work of all hosts at each endpoint.
+func (t *Table) At(now time.Duration) map[string]Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	sum := maps.Clone(t.own)
+	for _, p := range t.peers {
+		for endpoint, w := range p.work {
+			sum[endpoint] = sum[endpoint].Add(w)
+		}
+	}
+	return sum
+}
+
+func (t *Table) forget(now time.Duration) {
+	for host, p := range t.peers {
+		if now-p.heard > t.forgetAfter {
+			delete(t.peers, host)
+		}
+	}
+}
--- a/core/state/clock/clock.go
+++ b/core/state/clock/clock.go
@@ -20,6 +20,11 @@
 	Once(delay time.Duration) Subscription
 }
 
+// Boot tells a time for ages that must count while the host is suspended.
+type Boot interface {
+	Boot() time.Duration
+}
+
 // Subscription is one subscriber's stream of ticks.
 type Subscription interface {
 	// C returns the channel on which ticks arrive. A slow subscriber misses ticks.
--- a/core/state/clock/fake.go
+++ b/core/state/clock/fake.go
@@ -7,14 +7,16 @@
 
 // Fake is a Service whose time moves only by Advance.
 type Fake struct {
-	mu   sync.Mutex
-	now  time.Time
-	subs map[*fakeSub]struct{}
+	mu  sync.Mutex
+	now time.Time
+	// start is when the service was made.
+	start time.Time
+	subs  map[*fakeSub]struct{}
 }
 
 // NewFake returns a service that stands at start.
 func NewFake(start time.Time) *Fake {
-	return &Fake{now: start, subs: make(map[*fakeSub]struct{})}
+	return &Fake{now: start, start: start, subs: make(map[*fakeSub]struct{})}
 }
 
 // Now returns the time that Advance has reached.
@@ -24,6 +26,13 @@
 	return f.now
 }
 
+// Boot returns the time that Advance has moved.
+func (f *Fake) Boot() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now.Sub(f.start)
+}
+
 // Subscribe delivers a tick for each interval that Advance passes.
 func (f *Fake) Subscribe(interval time.Duration) Subscription {
 	return f.add(interval, interval)
--- a/core/state/clock/real.go
+++ b/core/state/clock/real.go
@@ -1,6 +1,11 @@
 package clock
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Real is the Service backed by the machine's clock.
 type Real struct{}
@@ -30,3 +35,14 @@
 
 func (t timer) C() <-chan time.Time { return t.t.C }
 func (t timer) Stop()               { t.t.Stop() }
+
+// Boot returns the time since the host started, suspended time included. It
+// neither jumps with the time of day nor stands still while the host is frozen.
+func (Real) Boot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// The clock is there on every Linux that the project supports.
+		panic(fmt.Sprintf("clock: read boot time: %v", err))
+	}
+	return time.Duration(ts.Nano())
+}
--- /dev/null
+++ b/core/state/kept/kept.go
@@ -0,0 +1,101 @@
+// Package kept remembers which prompt parts each endpoint holds in its cache, as
+// far as this host's own requests show it.
+package kept
+
+import (
+	"container/list"
+	"sync"
+
+	"cicadastand.dev/core/proto/call"
+)
+
+// capacityShare is the part of an endpoint's cache that is taken to be filled by
+// what this host knows of; running requests and other hosts use the rest.
+const capacityShare = 0.5
+
+// Index remembers parts by endpoint. The least recently used ones go first, as
+// at the endpoint. It is safe for concurrent use.
+//
+// Lock order: Index.mu is a leaf.
+type Index struct {
+	mu sync.Mutex
+	by map[string]*cache
+}
+
+type cache struct {
+	// weights is the version that the parts were made with.
+	weights int
+	tokens  int
+	order   *list.List
+	parts   map[string]*list.Element
+}
+
+type part struct {
+	key    string
+	tokens int
+}
+
+// New returns an index that knows of nothing.
+func New() *Index { return &Index{by: make(map[string]*cache)} }
+
+// Held returns how many leading tokens of a prompt the endpoint holds.
+func (x *Index) Held(endpoint string, weights int, wall string, parts []call.Part) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c := x.by[endpoint]
+	if c == nil || c.weights != weights {
+		return 0
+	}
+	held := 0
+	for _, p := range parts {
+		if _, ok := c.parts[wall+"/"+p.ID]; !ok {
+			break
+		}
+		held += p.Tokens
+	}
+	return held
+}
+
+// Add notes that the endpoint has read a prompt. capacity is its cache in tokens.
+func (x *Index) Add(endpoint string, weights int, wall string, parts []call.Part, capacity int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c := x.by[endpoint]
+	if c == nil || c.weights != weights {
+		c = &cache{weights: weights, order: list.New(), parts: make(map[string]*list.Element)}
+		x.by[endpoint] = c
+	}
+	for _, p := range parts {
+		c.add(wall+"/"+p.ID, p.Tokens)
+	}
+	for c.tokens > int(capacityShare*float64(capacity)) && c.order.Len() > 0 {
+		c.dropOldest()
+	}
+}
+
+func (c *cache) add(key string, tokens int) {
+	if e, ok := c.parts[key]; ok {
+		c.order.MoveToFront(e)
+		return
+	}
+	c.parts[key] = c.order.PushFront(part{key: key, tokens: tokens})
+	c.tokens += tokens
+}
+
+func (c *cache) dropOldest() {
+	e := c.order.Back()
+	p := c.order.Remove(e).(part)
+	delete(c.parts, p.key)
+	c.tokens -= p.tokens
+}
+
+// Keep forgets the endpoints that are not known any more.
+func (x *Index) Keep(known func(endpoint string) bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for endpoint := range x.by {
+		if !known(endpoint) {
+			delete(x.by, endpoint)
+		}
+	}
+}
--- /dev/null
+++ b/core/state/sight/sight.go
@@ -0,0 +1,136 @@
+// Package sight holds what this host has seen in the platform's store, with the
+// age of each part.
+//
+// Ages are counted on a clock that goes on while the host is suspended. A read
+// proves what was newest when it began, so a stamp is the start of a read and
+// never its end.
+package sight
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadastand.dev/core/state/site"
+)
+
+// View is what the host believes at one moment. It is immutable.
+type View struct {
+	// Config is nil until a configuration was read.
+	Config *site.Config
+	// Endpoints by the ID of their incarnation.
+	Endpoints map[string]*site.Endpoint
+	// ByService lists the endpoints that take requests.
+	ByService map[string][]*site.Endpoint
+	// Weights is the newest version named for each model.
+	Weights map[string]int
+	// Listed reports whether the list of endpoints was read at least once.
+	Listed bool
+}
+
+// Board keeps the current view. It is safe for concurrent use.
+//
+// Lock order: Board.mu is a leaf.
+type Board struct {
+	mu    sync.Mutex
+	view  atomic.Pointer[View]
+	stamp atomic.Int64
+}
+
+// New returns a board on which nothing was seen.
+func New() *Board {
+	b := &Board{}
+	b.view.Store(&View{Endpoints: map[string]*site.Endpoint{}, ByService: map[string][]*site.Endpoint{}, Weights: map[string]int{}})
+	b.stamp.Store(-1)
+	return b
+}
+
+// View returns what is believed now.
+func (b *Board) View() *View { return b.view.Load() }
+
+// Verify notes that a read which began at started showed the configuration held
+// here as the newest.
+func (b *Board) Verify(started time.Duration) {
+	for {
+		old := b.stamp.Load()
+		if int64(started) <= old || b.stamp.CompareAndSwap(old, int64(started)) {
+			return
+		}
+	}
+}
+
+// Age returns how long ago the configuration was known to be the newest, and
+// false if it never was.
+func (b *Board) Age(now time.Duration) (time.Duration, bool) {
+	stamp := b.stamp.Load()
+	if stamp < 0 || b.view.Load().Config == nil {
+		return 0, false
+	}
+	return now - time.Duration(stamp), true
+}
+
+// SetConfig takes a configuration. One that is not newer is ignored, so that a
+// host never goes back. It reports whether the configuration was taken.
+func (b *Board) SetConfig(c *site.Config) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := *b.view.Load()
+	if v.Config != nil && c.Version <= v.Config.Version {
+		return false
+	}
+	v.Config = c
+	b.view.Store(&v)
+	return true
+}
+
+// SetWeights takes the version named for a model, unless a newer one is known.
+// It reports whether the version was taken.
+func (b *Board) SetWeights(model string, version int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := *b.view.Load()
+	if version <= v.Weights[model] {
+		return false
+	}
+	v.Weights = maps.Clone(v.Weights)
+	v.Weights[model] = version
+	b.view.Store(&v)
+	return true
+}
+
+// SetEndpoints replaces the list of endpoints.
+func (b *Board) SetEndpoints(all map[string]*site.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := *b.view.Load()
+	v.Endpoints = all
+	v.ByService = byService(all)
+	v.Listed = true
+	b.view.Store(&v)
+}
+
+// byService groups the endpoints that take requests. Of two incarnations at one
+// address only the younger can be alive.
+func byService(all map[string]*site.Endpoint) map[string][]*site.Endpoint {
+	youngest := make(map[string]*site.Endpoint, len(all))
+	for _, e := range all {
+		address := e.Address.String()
+		if other, ok := youngest[address]; !ok || e.Started.After(other.Started) {
+			youngest[address] = e
+		}
+	}
+	out := make(map[string][]*site.Endpoint)
+	for _, e := range youngest {
+		if !e.Leaving {
+			out[e.Service] = append(out[e.Service], e)
+		}
+	}
+	for _, list := range out {
+		// All hosts see the endpoints in the same order.
+		slices.SortFunc(list, func(a, b *site.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return out
+}
--- /dev/null
+++ b/core/trans/lines/lines.go
@@ -0,0 +1,59 @@
+// Package lines writes log lines without ever blocking the writer.
+package lines
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// Writer hands lines to a goroutine that writes them. While its queue is full,
+// lines are dropped and counted.
+type Writer struct {
+	out     io.Writer
+	queue   chan []byte
+	dropped atomic.Int64
+	done    sync.WaitGroup
+}
+
+// New returns a writer with room for a number of lines.
+func New(out io.Writer, room int) *Writer {
+	w := &Writer{out: out, queue: make(chan []byte, room)}
+	w.done.Add(1)
+	go w.run()
+	return w
+}
+
+// Write queues a line. It never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.queue <- bytes.Clone(line):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what is queued. Nothing may be written after it.
+func (w *Writer) Close() {
+	close(w.queue)
+	w.done.Wait()
+}
+
+func (w *Writer) run() {
+	defer w.done.Done()
+	told := int64(0)
+	for line := range w.queue {
+		// A log that can't be written has no other place to say so.
+		_, _ = w.out.Write(line)
+		if n := w.dropped.Load(); n > told {
+			_, _ = fmt.Fprintf(w.out, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"lines\":%d}\n", n-told)
+			told = n
+		}
+	}
+}
--- a/router/cli/cli.go
+++ b/router/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/platform/local"
 	"cicadastand.dev/router/node"
 	"cicadastand.dev/router/prefs"
 )
@@ -30,12 +31,16 @@
 	fs.SetOutput(stderr)
 	path := fs.String("settings", "router.yaml", "file with the settings")
 	checkOnly := fs.Bool("check-settings", false, "check the settings and exit")
+	metricsPort := fs.Uint("metrics-port", 0, "on a platform, the port of the metrics; 0 for none")
 	if err := fs.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return exitOK
 		}
 		return exitSettings
 	}
+	if where, ok := local.Path(); ok {
+		return runHosted(where, *checkOnly, uint16(*metricsPort), stdout, stderr)
+	}
 	settings, err := prefs.Load(*path)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
--- /dev/null
+++ b/router/cli/hosted.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/trans/lines"
+	"cicadastand.dev/platform"
+	"cicadastand.dev/router/hosted"
+)
+
+// logRoom is how many log lines may wait; more are dropped and counted.
+const logRoom = 4096
+
+// runHosted runs a router with the settings that a platform gives.
+func runHosted(path string, checkOnly bool, metricsPort uint16, stdout, stderr io.Writer) int {
+	p, err := platform.Open(path)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if checkOnly {
+		_, _ = fmt.Fprintf(stdout, "%s is valid\n", path)
+		return exitOK
+	}
+	out := lines.New(stdout, logRoom)
+	defer out.Close()
+	logger := hclog.New(&hclog.LoggerOptions{Name: "router", Level: hclog.Info, JSONFormat: true, Output: out})
+	h := hosted.New(hosted.Config{Platform: p, Clock: clock.New(), MetricsPort: metricsPort, Logger: logger})
+	if err := serveHosted(h, path); err != nil {
+		logger.Error("ended with a fault", "error", err)
+		return exitFault
+	}
+	return exitOK
+}
+
+func serveHosted(h *hosted.Host, path string) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx := context.Background()
+	if err := h.Start(ctx); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	for {
+		select {
+		case <-reload:
+			h.Reload(path)
+		case <-stop:
+			return h.Stop(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/router/hosted/hosted.go
@@ -0,0 +1,335 @@
+// Package hosted runs a router on a platform that keeps configuration, endpoints
+// and the registry of hosts in its store.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/coord/budget"
+	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/shun"
+	"cicadastand.dev/core/proto/feed"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/kept"
+	"cicadastand.dev/core/state/sight"
+	"cicadastand.dev/core/trans/dials"
+	"cicadastand.dev/core/trans/httpd"
+	"cicadastand.dev/platform"
+	"cicadastand.dev/platform/local"
+	"cicadastand.dev/router/hop"
+	"cicadastand.dev/router/relay"
+	"cicadastand.dev/router/share"
+	"cicadastand.dev/router/watch"
+	"cicadastand.dev/router/weight"
+)
+
+// Timer is the service that tells both kinds of time.
+type Timer interface {
+	clock.Service
+	clock.Boot
+}
+
+// Config says what a Host is made from.
+type Config struct {
+	Platform *platform.Platform
+	Clock    Timer
+	// MetricsPort is where metrics are served on the host's address; 0 for nowhere.
+	MetricsPort uint16
+	Logger      hclog.Logger
+}
+
+const (
+	// memoryShare is the soft limit as a part of what the platform allows: bytes
+	// that are received and not yet read count as well.
+	memoryShare = 0.6
+	// bodyShare is the part of the memory that request bodies may take.
+	bodyShare = 0.15
+	// keyMargin is the time from the last look at a key to its use at the endpoint.
+	keyMargin = 500 * time.Millisecond
+	// publishedWait is a read of the configuration: two of them and an answer stay
+	// within the time for which a key may be used.
+	publishedWait = 1500 * time.Millisecond
+	// entriesInterval keeps an endpoint's leaving known well within its drain time.
+	entriesInterval = 500 * time.Millisecond
+	// shareInterval is the age of what peers know of each other's work.
+	shareInterval = 200 * time.Millisecond
+	// forgetPeer is when a silent peer's work no longer counts.
+	forgetPeer = 1500 * time.Millisecond
+	// dialTimeout is well above the way between failure domains, and below the
+	// second after which a lost opening packet is sent again.
+	dialTimeout = 300 * time.Millisecond
+	// idleChannel and freshChannel bound how long channels to endpoints are kept.
+	idleChannel  = 10 * time.Second
+	freshChannel = 2 * time.Second
+	// maxIdle bounds the idle channels to one endpoint.
+	maxIdle = 16
+	// sweepInterval is the time between looks at the idle channels.
+	sweepInterval = time.Second
+	// balancerNotice is how long the platform takes to see that a host is not
+	// ready: two questions, one a second, and the way.
+	balancerNotice = 2300 * time.Millisecond
+	// stopMargin is left of the grace time when the process ends.
+	stopMargin = 700 * time.Millisecond
+	// suspectMemory is how long a request that crashed endpoints is remembered.
+	suspectMemory = time.Minute
+	// retryShare is the part of the shared budget for repeats that is used: hosts
+	// don't see each other's counts at once.
+	retryShare = 0.8
+)
+
+// shunConfig bounds the pauses after failures: an endpoint that crashed is back
+// after some seconds.
+var shunConfig = shun.Config{First: 300 * time.Millisecond, Longest: 3 * time.Second}
+
+// Host is a router process on a platform.
+type Host struct {
+	cfg      Config
+	settings local.Settings
+	board    *sight.Board
+	loads    *load.Table
+	kept     *kept.Index
+	shun     *shun.Table
+	hop      *hop.Pool
+	relay    *relay.Relay
+	share    *share.Service
+	watch    *watch.Watcher
+	weight   *weight.Runner
+	metrics  *metrics.Set
+
+	callers *httpd.Server
+	ready   *httpd.Server
+	gauges  *httpd.Server
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+}
+
+// New builds the parts of a process.
+func New(cfg Config) *Host {
+	s := cfg.Platform.Settings
+	h := &Host{
+		cfg:      cfg,
+		settings: s,
+		board:    sight.New(),
+		loads:    load.New(forgetPeer),
+		kept:     kept.New(),
+		shun:     shun.New(shunConfig),
+		metrics:  metrics.NewSet(),
+	}
+	suspects := poison.New(poison.Config{Memory: suspectMemory})
+	repeats := budget.New(budget.Config{
+		Window: s.Bounds.RetryWindow,
+		Ratio:  retryShare * s.Bounds.RetryRatio,
+		Extra:  retryShare * float64(s.Bounds.RetryExtra),
+	})
+	h.hop = hop.New(hop.Config{
+		Clock:       cfg.Clock,
+		Dial:        dials.From(netip.Addr{}),
+		DialTimeout: dialTimeout,
+		IdleTimeout: idleChannel,
+		FreshFor:    freshChannel,
+		MaxIdle:     maxIdle,
+	})
+	h.relay = relay.New(relay.Config{
+		Clock:         cfg.Clock,
+		Codec:         cfg.Platform.Codec,
+		Board:         h.board,
+		Hop:           h.hop,
+		Loads:         h.loads,
+		Kept:          h.kept,
+		Shun:          h.shun,
+		Budget:        repeats,
+		Poison:        suspects,
+		FailureDomain: s.FailureDomain,
+		KeyFreshness:  s.Bounds.Revoke - keyMargin,
+		MaxBuffered:   int64(bodyShare * float64(s.MemoryBytes)),
+		Logger:        cfg.Logger,
+		Metrics:       h.metrics,
+	})
+	h.watch = watch.New(watch.Config{
+		Clock:           cfg.Clock,
+		Store:           cfg.Platform.Source,
+		Board:           h.board,
+		PublishedWait:   publishedWait,
+		EntriesInterval: entriesInterval,
+		Logger:          cfg.Logger,
+		Metrics:         h.metrics,
+	})
+	h.share = share.New(share.Config{
+		Clock:      cfg.Clock,
+		Self:       feed.Host{Name: s.Host, FailureDomain: s.FailureDomain, Address: netip.AddrPortFrom(s.Address, s.FirstPort).String()},
+		Registry:   cfg.Platform.Source,
+		Loads:      h.loads,
+		Poison:     suspects,
+		Changing:   h.relay.Pause,
+		Registered: repeats.SetHosts,
+		Interval:   shareInterval,
+		Logger:     cfg.Logger,
+		Metrics:    h.metrics,
+	})
+	h.weight = weight.New(weight.Config{
+		Clock:   cfg.Clock,
+		Host:    s.Host,
+		Lease:   s.Bounds.Lease,
+		Board:   h.board,
+		Leases:  cfg.Platform.Source,
+		Engines: cfg.Platform.Engines,
+		Loads:   h.requests,
+		Changed: h.share.Change,
+		Logger:  cfg.Logger,
+	})
+	return h
+}
+
+// requests returns how many requests are at each endpoint.
+func (h *Host) requests() map[string]int {
+	return lo.MapValues(h.loads.At(h.cfg.Clock.Boot()), func(w load.Work, _ string) int { return w.Requests() })
+}
+
+// part runs one loop of the process.
+type part struct {
+	loop func(context.Context)
+	done *sync.WaitGroup
+}
+
+func (p *part) run(ctx context.Context) {
+	defer p.done.Done()
+	p.loop(ctx)
+}
+
+// Start opens the listeners and starts the loops. After an error nothing runs.
+func (h *Host) Start(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(h.settings.MemoryBytes)))
+	if err := h.share.Listen(ctx); err != nil {
+		return fmt.Errorf("start host: %w", err)
+	}
+	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	h.cancel = cancel
+	for _, loop := range []func(context.Context){
+		h.watch.RunPublished, h.watch.RunEntries, h.share.RunRegistry, h.share.Run, h.weight.Run, h.sweep,
+	} {
+		h.workers.Add(1)
+		p := &part{loop: loop, done: &h.workers}
+		go p.run(loops)
+	}
+	if err := h.listen(ctx); err != nil {
+		h.Close()
+		return fmt.Errorf("start host: %w", err)
+	}
+	h.cfg.Logger.Info("started", "host", h.settings.Host, "failure-domain", h.settings.FailureDomain,
+		"callers", h.settings.Callers, "store", h.settings.Store, "memory-bytes", h.settings.MemoryBytes)
+	return nil
+}
+
+func (h *Host) listen(ctx context.Context) error {
+	var err error
+	if h.ready, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Readiness, Handler: h.readiness(), Logger: h.cfg.Logger}); err != nil {
+		return err
+	}
+	if h.cfg.MetricsPort > 0 {
+		address := netip.AddrPortFrom(h.settings.Address, h.cfg.MetricsPort)
+		if h.gauges, err = httpd.Listen(ctx, httpd.Config{Address: address, Handler: h.exposition(), Logger: h.cfg.Logger}); err != nil {
+			return err
+		}
+	}
+	h.callers, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Callers, Handler: h.relay, Logger: h.cfg.Logger})
+	return err
+}
+
+func (h *Host) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if ok, reason := h.relay.Ready(); !ok {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (h *Host) exposition() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		h.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return mux
+}
+
+// sweep lets go of what belongs to endpoints that are gone.
+func (h *Host) sweep(ctx context.Context) {
+	tick := h.cfg.Clock.Subscribe(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C():
+			view := h.board.View()
+			known := func(id string) bool { return view.Endpoints[id] != nil }
+			h.hop.Sweep(func(t hop.Target) bool { return known(t.Incarnation) })
+			h.kept.Keep(known)
+			h.shun.Keep(known)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Reload reads the platform's settings again. Addresses and bounds hold until
+// the next start.
+func (h *Host) Reload(path string) {
+	s, err := local.Load(path)
+	if err != nil {
+		h.cfg.Logger.Error("settings not reloaded", "error", err)
+		return
+	}
+	h.cfg.Logger.Info("settings reloaded", "changed", s != h.settings)
+}
+
+// ErrGrace reports a graceful stop that did not end in time.
+var ErrGrace = errors.New("requests were still in progress at the end of the grace time")
+
+// Stop tells the balancer and the clients to move on, and waits for the requests
+// in progress as long as the platform allows.
+func (h *Host) Stop(ctx context.Context) error {
+	started := h.cfg.Clock.Now()
+	h.cfg.Logger.Info("stopping", "in-flight", h.relay.InFlight())
+	ctx, cancel := clock.WithTimeout(ctx, h.cfg.Clock, h.settings.Bounds.Grace-stopMargin)
+	defer cancel()
+	h.relay.Stop()
+	err := clock.Sleep(ctx, h.cfg.Clock, balancerNotice)
+	if err == nil {
+		h.callers.StopListening()
+		err = h.callers.Shutdown(ctx)
+	}
+	if err != nil {
+		err = ErrGrace
+	}
+	h.share.Leave(ctx)
+	h.Close()
+	h.cfg.Logger.Info("stopped", "error", err, "ms", h.cfg.Clock.Now().Sub(started).Milliseconds())
+	return err
+}
+
+// Close ends everything at once.
+func (h *Host) Close() {
+	for _, server := range []*httpd.Server{h.callers, h.ready, h.gauges} {
+		if server != nil {
+			server.Close()
+		}
+	}
+	h.cancel()
+	h.share.Close()
+	h.workers.Wait()
+	h.hop.Close()
+	h.cfg.Platform.Close()
+}
--- /dev/null
+++ b/router/relay/attempt.go
@@ -0,0 +1,262 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/place"
+	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/core/state/site"
+	"cicadastand.dev/router/hop"
+)
+
+// maxAnswer bounds an answer that is read whole before it is passed on.
+const maxAnswer = 8 << 20
+
+// answer is an endpoint's whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// choice is the endpoint for one send.
+type choice struct {
+	endpoint *site.Endpoint
+	// read is how many tokens of the prompt it has to read.
+	read   int
+	expect time.Duration
+	// idle is set if nothing waited there.
+	idle bool
+}
+
+// attempt sends the request once. A nil fault means that the client has its
+// answer; otherwise again tells whether another send is safe.
+func (j *job) attempt(ctx context.Context) (again bool, fault *rejection) {
+	r := j.r
+	if err := r.cfg.Poison.Check(j.fingerprint, maxCrashes, r.cfg.Clock.Now()); err != nil {
+		return false, refuse(http.StatusServiceUnavailable, 0, "%v", err)
+	}
+	c, fault := j.choose()
+	if fault != nil {
+		return false, fault
+	}
+	// The host may have been suspended since the request came in.
+	if j.account != nil && !r.fresh() {
+		return false, refuse(http.StatusServiceUnavailable, retryStale, "configuration is too old to accept keys")
+	}
+	left := j.patience.Sub(r.cfg.Clock.Now())
+	if left <= 0 {
+		return false, errTimeout
+	}
+	j.sends++
+	j.endpoint = c.endpoint.ID
+	j.tried[c.endpoint.ID] = true
+	ticket := r.cfg.Loads.Begin(c.endpoint.ID, c.read)
+	defer ticket.End()
+	sent := r.cfg.Clock.Now()
+	reply, err := r.cfg.Hop.Send(ctx, hop.Target{Incarnation: c.endpoint.ID, Address: c.endpoint.Address}, j.message(c.endpoint, left), j.isOwn)
+	if err != nil {
+		return j.sendFailed(ctx, c, err)
+	}
+	defer reply.Close()
+	return j.receive(ctx, c, reply, ticket, sent)
+}
+
+func (j *job) isOwn(h http.Header, id string) bool {
+	got := j.r.cfg.Codec.Answer(h).ID
+	return got == id || got == ""
+}
+
+func (j *job) message(e *site.Endpoint, left time.Duration) hop.Message {
+	send := call.Send{
+		Incarnation: e.ID,
+		Left:        left,
+		Wall:        j.wall(),
+		LastEvent:   max(j.lastEvent, j.ask.LastEvent),
+	}
+	if j.account != nil {
+		send.Account = j.account.Name
+	}
+	if j.isModel() {
+		send.HasRank, send.Rank = true, j.rank()
+	}
+	return hop.Message{
+		ID:     j.ask.ID,
+		Method: j.req.Method,
+		URI:    j.req.RequestURI,
+		Host:   j.req.Host,
+		Header: j.r.cfg.Codec.Forward(j.req.Header, send),
+		Body:   j.body,
+		Once:   !j.route.MayRepeat(),
+	}
+}
+
+// isModel reports whether the request is a generation.
+func (j *job) isModel() bool { return j.service != nil && j.service.Engine != nil }
+
+// sendFailed decides after a send that got no answer.
+func (j *job) sendFailed(ctx context.Context, c choice, err error) (again bool, fault *rejection) {
+	if ctx.Err() == nil {
+		j.shun(c, err)
+	}
+	if hop.IsErrUnsent(err) {
+		return true, refuse(http.StatusServiceUnavailable, retryBusy, "endpoint %s: %v", c.endpoint.ID, err)
+	}
+	if ctx.Err() != nil {
+		return false, errTimeout
+	}
+	return j.broken(fmt.Sprintf("endpoint %s broke off: %v", c.endpoint.ID, err))
+}
+
+// shun keeps requests away from an endpoint that failed.
+func (j *job) shun(c choice, err error) {
+	if j.r.cfg.Shun.Failed(c.endpoint.ID, j.r.cfg.Clock.Boot()) {
+		j.r.cfg.Logger.Warn("endpoint shunned", "id", j.ask.ID, "endpoint", c.endpoint.ID, "error", err)
+	}
+}
+
+// broken notes that an endpoint broke off while it may have run the request.
+func (j *job) broken(reason string) (again bool, fault *rejection) {
+	j.r.cfg.Poison.Crashed(j.fingerprint, j.r.cfg.Clock.Now())
+	return j.route.MayRepeat(), refuse(http.StatusBadGateway, 0, "%s", reason)
+}
+
+// choose places the request.
+func (j *job) choose() (choice, *rejection) {
+	r := j.r
+	view := r.cfg.Board.View()
+	j.view = view
+	all := view.ByService[j.serviceName]
+	paused := *r.paused.Load()
+	var list []*site.Endpoint
+	now := r.cfg.Clock.Boot()
+	for _, e := range all {
+		if !j.tried[e.ID] && !paused[e.ID] && !r.cfg.Shun.Shunned(e.ID, now) {
+			list = append(list, e)
+		}
+	}
+	if len(list) == 0 {
+		for _, e := range all {
+			if !j.tried[e.ID] {
+				list = append(list, e)
+			}
+		}
+	}
+	if len(list) == 0 {
+		return choice{}, refuse(http.StatusServiceUnavailable, retryNoEndpoint, "no endpoint of %s is left, %d are listed", j.serviceName, len(all))
+	}
+	work := r.cfg.Loads.At(now)
+	if !j.isModel() {
+		return j.chooseLeast(list, work), nil
+	}
+	return j.choosePrompt(list, work), nil
+}
+
+func (j *job) chooseLeast(list []*site.Endpoint, work map[string]load.Work) choice {
+	engines := make([]place.Engine, len(list))
+	for i, e := range list {
+		engines[i] = place.Engine{ID: e.ID, Slots: e.Slots, Work: work[e.ID], Remote: e.FailureDomain != j.r.cfg.FailureDomain}
+	}
+	at := place.LeastLoaded(engines, int(j.r.turn.Add(1)%uint64(len(list))))
+	return choice{endpoint: list[at]}
+}
+
+func (j *job) choosePrompt(list []*site.Endpoint, work map[string]load.Work) choice {
+	shared := j.ask.Shared()
+	prompt := place.Prompt{Tokens: j.ask.PromptTokens}
+	for _, p := range shared {
+		prompt.Shared += p.Tokens
+		prompt.Key = p.ID
+	}
+	if n := len(j.ask.Parts); n > 0 && prompt.Tokens == 0 {
+		prompt.Tokens = prompt.Shared + j.ask.Parts[n-1].Tokens
+	}
+	prompt.Tokens = max(prompt.Tokens, prompt.Shared)
+	engines := make([]place.Engine, len(list))
+	for i, e := range list {
+		engines[i] = place.Engine{
+			ID:     e.ID,
+			Slots:  e.Slots,
+			Rate:   j.r.speed.rate(e.ID),
+			Work:   work[e.ID],
+			Held:   j.r.cfg.Kept.Held(e.ID, e.Weights[j.ask.Model], j.wall(), shared),
+			Remote: e.FailureDomain != j.r.cfg.FailureDomain,
+		}
+	}
+	at, expect := place.Choose(prompt, engines)
+	return choice{endpoint: list[at], read: max(0, prompt.Tokens-engines[at].Held), expect: expect, idle: engines[at].Work.Waiting == 0}
+}
+
+// receive takes the endpoint's answer.
+func (j *job) receive(ctx context.Context, c choice, reply *hop.Reply, ticket *load.Ticket, sent time.Time) (again bool, fault *rejection) {
+	a := j.r.cfg.Codec.Answer(reply.Header)
+	if a.NotRun || reply.Status == http.StatusMisdirectedRequest {
+		j.drain(reply)
+		return true, refuse(http.StatusServiceUnavailable, retryBusy, "endpoint %s did not run the request: status %d", c.endpoint.ID, reply.Status)
+	}
+	if j.r.cfg.Shun.Succeeded(c.endpoint.ID) {
+		j.r.cfg.Logger.Info("endpoint answers again", "id", j.ask.ID, "endpoint", c.endpoint.ID)
+	}
+	success := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
+	if !a.Sealed || reply.Header.Get("Content-Encoding") != "" {
+		return j.broken(fmt.Sprintf("endpoint %s gave an answer without proof, status %d", c.endpoint.ID, reply.Status))
+	}
+	if success && j.route.Kind == site.Stream {
+		return j.stream(ctx, c, reply, ticket, sent)
+	}
+	body, err := io.ReadAll(io.LimitReader(reply, maxAnswer))
+	if err != nil {
+		if ctx.Err() != nil {
+			return false, errTimeout
+		}
+		return j.broken(fmt.Sprintf("endpoint %s cut its answer: %v", c.endpoint.ID, err))
+	}
+	whole := &answer{status: reply.Status, header: reply.Header, body: body}
+	if !success && j.route.MayRepeat() && !j.begun {
+		j.last = whole
+		return true, refuse(http.StatusBadGateway, 0, "endpoint %s failed with %d", c.endpoint.ID, reply.Status)
+	}
+	if j.begun {
+		return false, refuse(http.StatusBadGateway, 0, "endpoint %s answered a resumed stream with %d", c.endpoint.ID, reply.Status)
+	}
+	if success {
+		j.r.cfg.Poison.Completed(j.fingerprint)
+	}
+	j.pass(whole)
+	return false, nil
+}
+
+// drain reads what is left of a short answer so that its channel can be kept.
+func (j *job) drain(reply *hop.Reply) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(reply, maxAnswer)); err != nil {
+		j.r.cfg.Logger.Debug("refusal broke off", "id", j.ask.ID, "error", err)
+	}
+}
+
+// pass gives an endpoint's whole answer to the client. A status that would
+// promise that the request has not run can't stand where it has.
+func (j *job) pass(a *answer) {
+	switch a.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		j.reject(refuse(http.StatusBadGateway, 0, "endpoint %s ran the request and answered %d", j.endpoint, a.status))
+		return
+	}
+	h := j.w.Header()
+	closing := h.Get("Connection")
+	j.r.cfg.Codec.Return(h, a.header)
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	h.Set("Content-Length", fmt.Sprint(len(a.body)))
+	j.outcome = fmt.Sprint(a.status)
+	j.firstByte = j.r.cfg.Clock.Now().Sub(j.start)
+	j.w.WriteHeader(a.status)
+	if _, err := j.w.Write(a.body); err != nil {
+		j.reason = "the client did not take the answer: " + err.Error()
+	}
+}
--- /dev/null
+++ b/router/relay/relay.go
@@ -0,0 +1,131 @@
+// Package relay forwards requests to the endpoints of their route's service.
+package relay
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/coord/budget"
+	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/shun"
+	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/kept"
+	"cicadastand.dev/core/state/sight"
+	"cicadastand.dev/router/hop"
+)
+
+// Codec translates headers between a platform and the product.
+type Codec interface {
+	// Request decodes a client's header.
+	Request(h http.Header) call.Request
+	// Forward makes the header of a send from the client's.
+	Forward(client http.Header, s call.Send) http.Header
+	// Answer decodes an endpoint's header.
+	Answer(h http.Header) call.Answer
+	// Return copies an endpoint's header to the answer for the client.
+	Return(to, endpoint http.Header)
+}
+
+// Timer is the service that tells both kinds of time.
+type Timer interface {
+	clock.Service
+	clock.Boot
+}
+
+// Config says what a Relay works with.
+type Config struct {
+	Clock  Timer
+	Codec  Codec
+	Board  *sight.Board
+	Hop    *hop.Pool
+	Loads  *load.Table
+	Kept   *kept.Index
+	Shun   *shun.Table
+	Budget *budget.Book
+	Poison *poison.Table
+	// FailureDomain is the host's own.
+	FailureDomain string
+	// KeyFreshness is how old the proof may be that a key still holds.
+	KeyFreshness time.Duration
+	// MaxBuffered bounds the bytes of request bodies held at once.
+	MaxBuffered int64
+	Logger      hclog.Logger
+	Metrics     *metrics.Set
+}
+
+// Relay is an HTTP handler.
+type Relay struct {
+	cfg      Config
+	speed    *speed
+	turn     atomic.Uint64
+	buffered atomic.Int64
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	// paused holds the endpoints that load weights.
+	paused atomic.Pointer[map[string]bool]
+
+	latency *metrics.Histogram
+	first   *metrics.Histogram
+}
+
+// New returns a relay.
+func New(cfg Config) *Relay {
+	r := &Relay{
+		cfg:     cfg,
+		speed:   newSpeed(),
+		latency: cfg.Metrics.NewHistogram("cicada_relay_seconds"),
+		first:   cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
+	}
+	none := map[string]bool{}
+	r.paused.Store(&none)
+	return r
+}
+
+// Pause sets the endpoints that take no requests for now.
+func (r *Relay) Pause(endpoints map[string]bool) { r.paused.Store(&endpoints) }
+
+// Stop makes clients leave: each answer closes its connection from now on.
+func (r *Relay) Stop() { r.stopping.Store(true) }
+
+// InFlight returns the number of requests in progress.
+func (r *Relay) InFlight() int64 { return r.inFlight.Load() }
+
+// Ready reports whether requests can be served, and why not.
+func (r *Relay) Ready() (bool, string) {
+	age, ok := r.cfg.Board.Age(r.cfg.Clock.Boot())
+	switch {
+	case r.stopping.Load():
+		return false, "stopping"
+	case !ok:
+		return false, "no configuration"
+	case age > r.cfg.KeyFreshness:
+		return false, "configuration is too old to use keys: " + age.Round(time.Millisecond).String()
+	case !r.cfg.Board.View().Listed:
+		return false, "no list of endpoints"
+	default:
+		return true, ""
+	}
+}
+
+// ServeHTTP answers one request of a client.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	if r.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	j := r.newJob(w, req)
+	defer j.finish()
+	if fault := j.admit(); fault != nil {
+		j.reject(fault)
+		return
+	}
+	defer r.buffered.Add(-int64(len(j.body)))
+	j.run()
+}
--- /dev/null
+++ b/router/relay/stream.go
@@ -0,0 +1,165 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/router/hop"
+)
+
+// maxEvent bounds one event of a stream.
+const maxEvent = 1 << 20
+
+// eventChunk is how much of a stream is read at once.
+const eventChunk = 4 << 10
+
+var (
+	errEventSize  = errors.New("event is too large")
+	errEventPart  = errors.New("stream ends inside an event")
+	errEventOrder = errors.New("event is out of order")
+)
+
+// events cuts a stream into whole events.
+type events struct {
+	from io.Reader
+	buf  []byte
+}
+
+// next returns the next event with the blank line that ends it. io.EOF means
+// that the stream is whole.
+func (e *events) next() ([]byte, error) {
+	for {
+		if n := eventEnd(e.buf); n > 0 {
+			event := e.buf[:n]
+			e.buf = e.buf[n:]
+			return event, nil
+		}
+		if len(e.buf) > maxEvent {
+			return nil, errEventSize
+		}
+		chunk := make([]byte, eventChunk)
+		n, err := e.from.Read(chunk)
+		e.buf = append(e.buf, chunk[:n]...)
+		if err == nil || n > 0 && errors.Is(err, io.EOF) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(e.buf) > 0 {
+			return nil, errEventPart
+		}
+		return nil, err
+	}
+}
+
+// eventEnd returns the length of the first whole event, or 0.
+func eventEnd(b []byte) int {
+	if at := bytes.Index(b, []byte("\n\n")); at >= 0 {
+		return at + len("\n\n")
+	}
+	if at := bytes.Index(b, []byte("\r\n\r\n")); at >= 0 {
+		return at + len("\r\n\r\n")
+	}
+	return 0
+}
+
+// eventID returns the number of an event, and false if it has none.
+func eventID(event []byte) (int, bool) {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+		return n, err == nil
+	}
+	return 0, false
+}
+
+// stream passes events on as they come. If the endpoint breaks off, another may
+// go on after the last event where the route allows it.
+func (j *job) stream(ctx context.Context, c choice, reply *hop.Reply, ticket *load.Ticket, sent time.Time) (again bool, fault *rejection) {
+	source := &events{from: reply}
+	first := true
+	for {
+		event, err := source.next()
+		if errors.Is(err, io.EOF) {
+			return j.endStream(first, c)
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return false, errTimeout
+			}
+			return j.broken(fmt.Sprintf("endpoint %s broke off after event %d: %v", c.endpoint.ID, j.lastEvent, err))
+		}
+		if first {
+			first = false
+			ticket.Started()
+			j.learn(c, sent)
+		}
+		if err := j.event(reply, event); err != nil {
+			if errors.Is(err, errEventOrder) {
+				return j.broken(fmt.Sprintf("endpoint %s: %v", c.endpoint.ID, err))
+			}
+			return false, refuse(http.StatusBadGateway, 0, "client did not take event: %v", err)
+		}
+	}
+}
+
+// endStream ends a stream whose endpoint has sent all of it.
+func (j *job) endStream(empty bool, c choice) (again bool, fault *rejection) {
+	if empty && !j.begun {
+		return j.broken(fmt.Sprintf("endpoint %s sent no event", c.endpoint.ID))
+	}
+	j.outcome = "200"
+	j.r.cfg.Poison.Completed(j.fingerprint)
+	return false, nil
+}
+
+// learn takes what the first event shows of the endpoint: its speed, and that it
+// holds the prompt now.
+func (j *job) learn(c choice, sent time.Time) {
+	if j.firstByte == 0 {
+		j.firstByte = j.r.cfg.Clock.Now().Sub(j.start)
+		j.r.first.Update(j.firstByte.Seconds())
+	}
+	if !j.isModel() {
+		return
+	}
+	if c.idle {
+		j.r.speed.observe(c.endpoint.ID, c.read, j.r.cfg.Clock.Now().Sub(sent))
+	}
+	j.r.cfg.Kept.Add(c.endpoint.ID, c.endpoint.Weights[j.ask.Model], j.wall(), j.ask.Shared(), j.service.Engine.CacheTokens)
+}
+
+// event passes one event on.
+func (j *job) event(reply *hop.Reply, event []byte) error {
+	if id, ok := eventID(event); ok {
+		if j.begun && id != j.lastEvent+1 {
+			return fmt.Errorf("event %d follows %d: %w", id, j.lastEvent, errEventOrder)
+		}
+		j.lastEvent = id
+	}
+	if !j.begun {
+		j.begun = true
+		h := j.w.Header()
+		closing := h.Get("Connection")
+		j.r.cfg.Codec.Return(h, reply.Header)
+		if closing != "" {
+			h.Set("Connection", closing)
+		}
+		j.w.WriteHeader(reply.Status)
+	}
+	if _, err := j.w.Write(event); err != nil {
+		return fmt.Errorf("write event: %w", err)
+	}
+	if err := http.NewResponseController(j.w).Flush(); err != nil {
+		return fmt.Errorf("flush event: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/router/weight/weight.go
@@ -0,0 +1,207 @@
+// Package weight brings engines to the newest weights. One host at a time does
+// so for all, by a lease.
+package weight
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/coord/lease"
+	"cicadastand.dev/core/coord/plan"
+	"cicadastand.dev/core/proto/feed"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/sight"
+	"cicadastand.dev/core/state/site"
+)
+
+// Leases is the log on which the lease is granted.
+type Leases interface {
+	// Grant returns the last grant, reading from an offset on.
+	Grant(ctx context.Context, from int64) (feed.Grant, error)
+	// Take adds a grant if the log ends at an offset.
+	Take(ctx context.Context, at int64, holder, nonce string) error
+}
+
+// Engines is the engines' own interface.
+type Engines interface {
+	Report(ctx context.Context, e *site.Endpoint) (feed.Report, error)
+	Send(ctx context.Context, e *site.Endpoint, o feed.Order) (feed.Verdict, error)
+}
+
+// Loads tells how many requests are at each engine.
+type Loads func() map[string]int
+
+// Timer is the service that tells both kinds of time.
+type Timer interface {
+	clock.Service
+	clock.Boot
+}
+
+// Config says what a Runner works with.
+type Config struct {
+	Clock   Timer
+	Host    string
+	Lease   time.Duration
+	Board   *sight.Board
+	Leases  Leases
+	Engines Engines
+	Loads   Loads
+	// Changed is told which engines are about to change weights.
+	Changed func(engines map[string]bool)
+	Logger  hclog.Logger
+}
+
+const (
+	// interval is the time between looks at the work.
+	interval = 50 * time.Millisecond
+	// yieldTime is how long a host leaves new work to the one that had the lease
+	// last, which need not wait for it.
+	yieldTime = 300 * time.Millisecond
+	// reportInterval is the time between reports of an engine that changes.
+	reportInterval = 250 * time.Millisecond
+)
+
+// Runner gives orders while this host holds the lease.
+type Runner struct {
+	cfg    Config
+	lease  *lease.Lease
+	plan   *plan.Plan
+	noted  time.Duration
+	asked  map[string]time.Duration
+	paused map[string]bool
+}
+
+// New returns a runner.
+func New(cfg Config) *Runner {
+	return &Runner{
+		cfg:    cfg,
+		lease:  lease.New(lease.Config{Host: cfg.Host, Duration: cfg.Lease}),
+		plan:   plan.New(),
+		asked:  make(map[string]time.Duration),
+		paused: make(map[string]bool),
+	}
+}
+
+// Run looks after the weights until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	tick := r.cfg.Clock.Subscribe(interval)
+	defer tick.Stop()
+	for {
+		r.Step(ctx)
+		select {
+		case <-tick.C():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Step does what is due now.
+func (r *Runner) Step(ctx context.Context) {
+	now := r.cfg.Clock.Boot()
+	behind := r.plan.Behind(r.cfg.Board.View(), now)
+	if len(behind) == 0 {
+		r.noted = 0
+		r.pause(nil)
+		return
+	}
+	if r.noted == 0 {
+		r.noted = now
+	}
+	if !r.lease.Holds(now) && !r.acquire(ctx, now) {
+		return
+	}
+	r.check(ctx)
+	for _, o := range r.plan.Next(r.cfg.Board.View(), r.cfg.Loads(), r.cfg.Clock.Boot()) {
+		r.order(ctx, o)
+	}
+	r.pause(r.plan.Changing())
+}
+
+func (r *Runner) pause(engines map[string]bool) {
+	if len(engines) == 0 && len(r.paused) == 0 {
+		return
+	}
+	r.paused = engines
+	r.cfg.Changed(engines)
+}
+
+// acquire asks for the lease once that can succeed.
+func (r *Runner) acquire(ctx context.Context, now time.Duration) bool {
+	if !r.lease.Known() {
+		r.read(ctx)
+		return false
+	}
+	if r.lease.Wait(now) > 0 || !r.lease.WasLast() && now-r.noted < yieldTime {
+		return false
+	}
+	nonce := uuid.NewString()
+	r.lease.Asked(nonce, now)
+	err := r.cfg.Leases.Take(ctx, r.lease.End(), r.cfg.Host, nonce)
+	switch {
+	case err == nil:
+		r.lease.Won()
+		r.plan.Reset()
+		r.cfg.Logger.Info("lease taken", "fence", r.lease.Fence())
+		return true
+	case feed.IsErrMoved(err):
+		r.read(ctx)
+	default:
+		r.cfg.Logger.Warn("lease not taken, outcome is open", "error", err)
+		r.lease.Open()
+	}
+	return false
+}
+
+func (r *Runner) read(ctx context.Context) {
+	g, err := r.cfg.Leases.Grant(ctx, max(0, r.lease.End()-1))
+	if feed.IsErrTrimmed(err) {
+		g, err = r.cfg.Leases.Grant(ctx, r.lease.End())
+	}
+	if err != nil {
+		r.cfg.Logger.Warn("lease can't be read", "error", err)
+		return
+	}
+	r.lease.Learn(g, r.cfg.Clock.Boot())
+	r.cfg.Logger.Info("lease read", "holder", g.Holder, "end", g.End)
+}
+
+// check asks the engines that change whether they are done.
+func (r *Runner) check(ctx context.Context) {
+	view := r.cfg.Board.View()
+	for id := range r.plan.Changing() {
+		e := view.Endpoints[id]
+		now := r.cfg.Clock.Boot()
+		if e == nil || now-r.asked[id] < reportInterval {
+			continue
+		}
+		r.asked[id] = now
+		report, err := r.cfg.Engines.Report(ctx, e)
+		if err != nil {
+			r.cfg.Logger.Debug("no report", "endpoint", id, "error", err)
+			continue
+		}
+		r.plan.Reported(id, report, now)
+	}
+}
+
+// order gives one order. The lease is looked at last thing before it is sent.
+func (r *Runner) order(ctx context.Context, o plan.Step) {
+	now := r.cfg.Clock.Boot()
+	if !r.lease.Holds(now) {
+		return
+	}
+	r.asked[o.Endpoint.ID] = now
+	verdict, err := r.cfg.Engines.Send(ctx, o.Endpoint, feed.Order{
+		Model:      o.Model,
+		Version:    o.Version,
+		OrderCount: o.OrderCount,
+		Holder:     r.cfg.Host,
+		Fence:      r.lease.Fence(),
+	})
+	r.plan.Ordered(o, verdict, err, r.cfg.Clock.Boot())
+	r.cfg.Logger.Info("order", "endpoint", o.Endpoint.ID, "model", o.Model, "version", o.Version, "order-count", o.OrderCount, "fence", r.lease.Fence(), "verdict", int(verdict), "error", err)
+}
