Keep the weights of engines current, and read shared parts once

Cause: orders carried the entry's write counter as a condition, renewals of the lease repeated orders, and orders waited for runs of seconds. Change: the count of orders comes from the report, runs go on under the new weights, loads overlap by the time that was seen, the oldest weights go first; placement counts a second reading three times, and hosts tell each other of placements away from the rendezvous owner; versions are learnt from answers.

--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// ownerBelief is the part of a shared prompt that the owner by rendezvous is
-	// taken to hold while this host has not seen it: other hosts send there too.
-	ownerBelief = 0.6
+	// readWeight is how much more a shared part counts than the time it takes to
+	// read it again: other prompts at the engine wait for it as well, and the part
+	// takes memory in a second place.
+	readWeight = 3
+	// oldWeightsCost keeps requests away from engines whose weights were replaced.
+	oldWeightsCost = 60 * time.Millisecond
 	// runningCost is how much a running request slows the reading of prompts.
 	runningCost = 200 * time.Microsecond
 	// overfullCost is the wait for one slot when all are taken.
@@ -34,8 +37,10 @@
 	// Rate is how many prompt tokens it reads in a second.
 	Rate float64
 	Work load.Work
-	// Held is how many leading tokens of the prompt it is known to hold.
+	// Held is how many leading tokens of the shared part it is known to hold.
 	Held int
+	// Old is set if newer weights were named than the engine has.
+	Old bool
 	// Remote is set outside the host's own failure domain.
 	Remote bool
 }
@@ -49,32 +54,53 @@
 	Key string
 }
 
-// Choose returns the index of the engine with the least expected time to the
-// first token, and that time. There is at least one engine.
-func Choose(p Prompt, engines []Engine) (int, time.Duration) {
+// Choice is the result of a placement.
+type Choice struct {
+	// Index is that of the engine.
+	Index int
+	// FirstToken is the expected time to the first token.
+	FirstToken time.Duration
+	// Home is set if the engine is the one that all hosts choose for the shared
+	// part while nobody holds it.
+	Home bool
+}
+
+// Choose returns the engine with the least cost. There is at least one engine.
+// While no engine is known to hold the shared part, its owner by rendezvous
+// counts as the holder, so that all hosts read it at one place.
+func Choose(p Prompt, engines []Engine) Choice {
 	owner := -1
 	if p.Key != "" {
 		owner = Owner(p.Key, engines)
 	}
+	held := 0
+	for _, e := range engines {
+		held = max(held, e.Held)
+	}
 	best, least := 0, time.Duration(0)
 	for i, e := range engines {
-		held := float64(e.Held)
-		if i == owner {
-			held = max(held, ownerBelief*float64(p.Shared))
+		missed := p.Shared - e.Held
+		if i == owner && held < p.Shared {
+			missed = 0
+		}
+		cost := FirstToken(p, e) + readTime(float64((readWeight-1)*missed), e)
+		if e.Old {
+			cost += oldWeightsCost
 		}
-		cost := Expect(p, e, held)
 		if i == 0 || cost < least {
 			best, least = i, cost
 		}
 	}
-	return best, least
+	return Choice{Index: best, FirstToken: FirstToken(p, engines[best]), Home: best == owner}
+}
+
+func readTime(tokens float64, e Engine) time.Duration {
+	return time.Duration(tokens / e.Rate * float64(time.Second))
 }
 
-// Expect returns the time to the first token at an engine that holds a number of
-// the prompt's tokens.
-func Expect(p Prompt, e Engine, held float64) time.Duration {
-	read := float64(e.Work.Tokens) + max(0, float64(p.Tokens)-held)
-	cost := time.Duration(read / e.Rate * float64(time.Second))
+// FirstToken returns the time that an engine takes to the first token.
+func FirstToken(p Prompt, e Engine) time.Duration {
+	cost := readTime(float64(e.Work.Tokens+max(0, p.Tokens-e.Held)), e)
 	cost += time.Duration(e.Work.Running) * runningCost
 	if over := e.Work.Requests() + 1 - e.Slots; over > 0 {
 		cost += time.Duration(over) * overfullCost
--- a/core/coord/plan/plan.go
+++ b/core/coord/plan/plan.go
@@ -18,8 +18,14 @@
 )
 
 const (
-	// engineShare is the part of a service's engines that change at a time.
+	// engineShare is the part of a service's engines that load weights at a time:
+	// more of them slow each other down.
 	engineShare = 0.2
+	// initialLoad is the time to load weights that is assumed before one was seen.
+	initialLoad = 500 * time.Millisecond
+	// minLoad and reportLag correct what is seen of a load: a report is that old.
+	minLoad   = 150 * time.Millisecond
+	reportLag = 250 * time.Millisecond
 	// lostAfter is when an order without effect is taken as lost. Running requests
 	// may hold an order up for some seconds.
 	lostAfter = 6 * time.Second
@@ -32,18 +38,29 @@
 
 // Step is one order to give.
 type Step struct {
-	Endpoint   *site.Endpoint
-	Model      string
-	Version    int
+	Endpoint *site.Endpoint
+	Model    string
+	// Have is the version that the engine has, Version the one that it should have.
+	Have    int
+	Version int
+	// OrderCount is the number of orders that the engine has accepted; Unknown if
+	// it has to be asked first.
 	OrderCount int64
 }
 
+// Unknown is the order count of an engine that was not asked yet.
+const Unknown int64 = -1
+
 // Plan tracks the orders in progress. It is not safe for concurrent use.
 type Plan struct {
 	// changing are the engines with an order in progress.
 	changing map[string]progress
 	// reported is what engines said of themselves, newer than the list.
 	reported map[string]reported
+	// counts is how many orders engines have accepted, as far as that is certain.
+	counts map[string]int64
+	// load is the shortest time to load weights that was seen.
+	load time.Duration
 }
 
 type progress struct {
@@ -59,7 +76,7 @@
 
 // New returns a plan without orders.
 func New() *Plan {
-	p := &Plan{}
+	p := &Plan{load: initialLoad}
 	p.Reset()
 	return p
 }
@@ -68,6 +85,7 @@
 func (p *Plan) Reset() {
 	p.changing = make(map[string]progress)
 	p.reported = make(map[string]reported)
+	p.counts = make(map[string]int64)
 }
 
 // Behind returns the engines whose weights are older than the newest.
@@ -80,10 +98,9 @@
 		if e.Leaving {
 			continue
 		}
-		count, weights := p.state(e, now)
-		for model, have := range weights {
-			if newest := v.Weights[model]; newest > have {
-				out = append(out, Step{Endpoint: e, Model: model, Version: newest, OrderCount: count})
+		for model, have := range p.weights(e, now) {
+			if newest := v.Newest(model); newest > have {
+				out = append(out, Step{Endpoint: e, Model: model, Have: have, Version: newest, OrderCount: p.count(e.ID)})
 				break
 			}
 		}
@@ -91,16 +108,29 @@
 	return out
 }
 
-// state returns an engine's orders and weights by the newest word of it.
-func (p *Plan) state(e *site.Endpoint, now time.Duration) (int64, map[string]int) {
+func (p *Plan) count(id string) int64 {
+	if n, ok := p.counts[id]; ok {
+		return n
+	}
+	return Unknown
+}
+
+// weights returns an engine's weights by the newest word of it.
+func (p *Plan) weights(e *site.Endpoint, now time.Duration) map[string]int {
 	r, ok := p.reported[e.ID]
-	if ok && now-r.at < reportTrust && r.OrderCount >= e.OrderCount {
-		return r.OrderCount, r.Weights
+	if !ok || now-r.at >= reportTrust {
+		return e.Weights
 	}
-	return e.OrderCount, e.Weights
+	for model, version := range e.Weights {
+		if version > r.Weights[model] {
+			return e.Weights
+		}
+	}
+	return r.Weights
 }
 
-// Next returns the orders to give now, the least loaded engines first.
+// Next returns the orders to give now: those with the oldest weights first, and
+// the least loaded of them.
 func (p *Plan) Next(v *sight.View, load map[string]int, now time.Duration) []Step {
 	behind := p.Behind(v, now)
 	late := make(map[string]bool, len(behind))
@@ -113,11 +143,13 @@
 		}
 	}
 	slices.SortFunc(behind, func(a, b Step) int {
-		return cmp.Or(cmp.Compare(load[a.Endpoint.ID], load[b.Endpoint.ID]), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
+		return cmp.Or(cmp.Compare(a.Have, b.Have), cmp.Compare(load[a.Endpoint.ID], load[b.Endpoint.ID]), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
 	})
 	busy := make(map[string]int)
 	for _, pr := range p.changing {
-		busy[pr.step.Endpoint.Service]++
+		if now-pr.since < p.load {
+			busy[pr.step.Endpoint.Service]++
+		}
 	}
 	var out []Step
 	for _, s := range behind {
@@ -139,8 +171,11 @@
 	switch {
 	case err != nil || verdict == feed.Conflict:
 		p.changing[id] = progress{step: s, since: now}
+		delete(p.counts, id)
 	case verdict == feed.AlreadyDone:
 		p.Reported(id, feed.Report{OrderCount: s.OrderCount, Weights: map[string]int{s.Model: s.Version}}, now)
+	default:
+		p.counts[id] = s.OrderCount + 1
 	}
 }
 
@@ -149,9 +184,14 @@
 	if !r.Busy {
 		p.reported[id] = reported{Report: r, at: now}
 	}
+	// A report is some hundred milliseconds old and must not undo a later answer.
+	if n, ok := p.counts[id]; !ok || r.OrderCount > n {
+		p.counts[id] = r.OrderCount
+	}
 	pr, ok := p.changing[id]
 	if ok && !r.Busy && r.Weights[pr.step.Model] >= pr.step.Version {
 		delete(p.changing, id)
+		p.load = max(minLoad, min(p.load, now-pr.since-reportLag))
 	}
 }
 
--- a/core/proto/call/call.go
+++ b/core/proto/call/call.go
@@ -63,4 +63,6 @@
 	Sealed bool
 	// NotRun states that the endpoint did not run the request.
 	NotRun bool
+	// Weights is the version of the weights that answer; 0 if it was not told.
+	Weights int
 }
--- a/core/state/kept/kept.go
+++ b/core/state/kept/kept.go
@@ -18,8 +18,25 @@
 //
 // Lock order: Index.mu is a leaf.
 type Index struct {
-	mu sync.Mutex
-	by map[string]*cache
+	mu   sync.Mutex
+	by   map[string]*cache
+	news []Placement
+}
+
+// maxNews bounds the placements that wait to be told; in a burst the older ones
+// are told and the rest is found out by reading again.
+const maxNews = 64
+
+// Placement is one prompt's shared part at an endpoint.
+type Placement struct {
+	Endpoint string
+	// Weights is the version that the endpoint reads with.
+	Weights int
+	// Wall separates accounts that share nothing.
+	Wall  string
+	Parts []call.Part
+	// Capacity is the endpoint's cache in tokens.
+	Capacity int
 }
 
 type cache struct {
@@ -56,23 +73,45 @@
 	return held
 }
 
-// Add notes that the endpoint has read a prompt. capacity is its cache in tokens.
-func (x *Index) Add(endpoint string, weights int, wall string, parts []call.Part, capacity int) {
+// Add notes that an endpoint reads a prompt. What was made with older weights
+// than the endpoint is known to have is ignored.
+func (x *Index) Add(p Placement) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	c := x.by[endpoint]
-	if c == nil || c.weights != weights {
-		c = &cache{weights: weights, order: list.New(), parts: make(map[string]*list.Element)}
-		x.by[endpoint] = c
+	c := x.by[p.Endpoint]
+	if c != nil && c.weights > p.Weights {
+		return
 	}
-	for _, p := range parts {
-		c.add(wall+"/"+p.ID, p.Tokens)
+	if c == nil || c.weights < p.Weights {
+		c = &cache{weights: p.Weights, order: list.New(), parts: make(map[string]*list.Element)}
+		x.by[p.Endpoint] = c
 	}
-	for c.tokens > int(capacityShare*float64(capacity)) && c.order.Len() > 0 {
+	for _, part := range p.Parts {
+		c.add(p.Wall+"/"+part.ID, part.Tokens)
+	}
+	for c.tokens > int(capacityShare*float64(p.Capacity)) && c.order.Len() > 0 {
 		c.dropOldest()
 	}
 }
 
+// Announce keeps a placement until the peers are told.
+func (x *Index) Announce(p Placement) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if len(x.news) < maxNews {
+		x.news = append(x.news, p)
+	}
+}
+
+// News returns the placements to tell peers of, each once.
+func (x *Index) News() []Placement {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := x.news
+	x.news = nil
+	return out
+}
+
 func (c *cache) add(key string, tokens int) {
 	if e, ok := c.parts[key]; ok {
 		c.order.MoveToFront(e)
--- a/core/state/sight/sight.go
+++ b/core/state/sight/sight.go
@@ -25,12 +25,41 @@
 	Endpoints map[string]*site.Endpoint
 	// ByService lists the endpoints that take requests.
 	ByService map[string][]*site.Endpoint
-	// Weights is the newest version named for each model.
-	Weights map[string]int
+	// Weights are the versions named for each model, in the order of their naming.
+	Weights map[string][]Named
 	// Listed reports whether the list of endpoints was read at least once.
 	Listed bool
 }
 
+// Named is a version of a model's weights, and when this host learnt of it.
+type Named struct {
+	Version int
+	At      time.Duration
+}
+
+// Newest returns the newest version named for a model; 0 if none was.
+func (v *View) Newest(model string) int {
+	if n := len(v.Weights[model]); n > 0 {
+		return v.Weights[model][n-1].Version
+	}
+	return 0
+}
+
+// Replaced returns when this host learnt of the first version that is newer than
+// the given one, and false if there is none.
+func (v *View) Replaced(model string, version int) (time.Duration, bool) {
+	for _, n := range v.Weights[model] {
+		if n.Version > version {
+			return n.At, true
+		}
+	}
+	return 0, false
+}
+
+// maxNamed bounds the versions that are remembered of a model; engines that are
+// further behind count as replaced when the oldest of them was named.
+const maxNamed = 32
+
 // Board keeps the current view. It is safe for concurrent use.
 //
 // Lock order: Board.mu is a leaf.
@@ -43,7 +72,7 @@
 // New returns a board on which nothing was seen.
 func New() *Board {
 	b := &Board{}
-	b.view.Store(&View{Endpoints: map[string]*site.Endpoint{}, ByService: map[string][]*site.Endpoint{}, Weights: map[string]int{}})
+	b.view.Store(&View{Endpoints: map[string]*site.Endpoint{}, ByService: map[string][]*site.Endpoint{}, Weights: map[string][]Named{}})
 	b.stamp.Store(-1)
 	return b
 }
@@ -88,15 +117,16 @@
 
 // SetWeights takes the version named for a model, unless a newer one is known.
 // It reports whether the version was taken.
-func (b *Board) SetWeights(model string, version int) bool {
+func (b *Board) SetWeights(model string, version int, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	v := *b.view.Load()
-	if version <= v.Weights[model] {
+	if version <= v.Newest(model) {
 		return false
 	}
 	v.Weights = maps.Clone(v.Weights)
-	v.Weights[model] = version
+	named := append(slices.Clone(v.Weights[model]), Named{Version: version, At: now})
+	v.Weights[model] = named[max(0, len(named)-maxNamed):]
 	b.view.Store(&v)
 	return true
 }
--- a/core/state/site/site.go
+++ b/core/state/site/site.go
@@ -189,8 +189,6 @@
 	Leaving bool
 	// Started is when the incarnation began; zero if it was not told.
 	Started time.Time
-	// OrderCount is the number of orders that the incarnation has accepted.
-	OrderCount int64
 	// Weights is the version of the weights of each model.
 	Weights map[string]int
 }
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -62,7 +62,7 @@
 	// within the time for which a key may be used.
 	publishedWait = 1500 * time.Millisecond
 	// entriesInterval keeps an endpoint's leaving known well within its drain time.
-	entriesInterval = 500 * time.Millisecond
+	entriesInterval = 800 * time.Millisecond
 	// shareInterval is the age of what peers know of each other's work.
 	shareInterval = 200 * time.Millisecond
 	// forgetPeer is when a silent peer's work no longer counts.
@@ -152,6 +152,7 @@
 		Budget:        repeats,
 		Poison:        suspects,
 		FailureDomain: s.FailureDomain,
+		OldWeights:    s.Bounds.Weights,
 		KeyFreshness:  s.Bounds.Revoke - keyMargin,
 		MaxBuffered:   int64(bodyShare * float64(s.MemoryBytes)),
 		Logger:        cfg.Logger,
@@ -172,6 +173,7 @@
 		Registry:   cfg.Platform.Source,
 		Loads:      h.loads,
 		Poison:     suspects,
+		Kept:       h.kept,
 		Changing:   h.relay.Pause,
 		Registered: repeats.SetHosts,
 		Interval:   shareInterval,
@@ -278,6 +280,7 @@
 			h.hop.Sweep(func(t hop.Target) bool { return known(t.Incarnation) })
 			h.kept.Keep(known)
 			h.shun.Keep(known)
+			h.relay.Keep(known)
 		case <-ctx.Done():
 			return
 		}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -10,6 +10,7 @@
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/core/state/kept"
 	"cicadastand.dev/core/state/site"
 	"cicadastand.dev/router/hop"
 )
@@ -32,6 +33,8 @@
 	expect time.Duration
 	// idle is set if nothing waited there.
 	idle bool
+	// home is set if all hosts would choose the endpoint for the shared part.
+	home bool
 }
 
 // attempt sends the request once. A nil fault means that the client has its
@@ -56,6 +59,7 @@
 	j.sends++
 	j.endpoint = c.endpoint.ID
 	j.tried[c.endpoint.ID] = true
+	j.placed(c, r.weights.of(c.endpoint, j.ask.Model))
 	ticket := r.cfg.Loads.Begin(c.endpoint.ID, c.read)
 	defer ticket.End()
 	sent := r.cfg.Clock.Now()
@@ -154,7 +158,7 @@
 	if !j.isModel() {
 		return j.chooseLeast(list, work), nil
 	}
-	return j.choosePrompt(list, work), nil
+	return j.choosePrompt(r.current(list, view, j.ask.Model), work), nil
 }
 
 func (j *job) chooseLeast(list []*site.Endpoint, work map[string]load.Work) choice {
@@ -184,17 +188,39 @@
 			Slots:  e.Slots,
 			Rate:   j.r.speed.rate(e.ID),
 			Work:   work[e.ID],
-			Held:   j.r.cfg.Kept.Held(e.ID, e.Weights[j.ask.Model], j.wall(), shared),
+			Held:   j.r.cfg.Kept.Held(e.ID, j.r.weights.of(e, j.ask.Model), j.wall(), shared),
+			Old:    j.r.weights.of(e, j.ask.Model) < j.view.Newest(j.ask.Model),
 			Remote: e.FailureDomain != j.r.cfg.FailureDomain,
 		}
 	}
-	at, expect := place.Choose(prompt, engines)
-	return choice{endpoint: list[at], read: max(0, prompt.Tokens-engines[at].Held), expect: expect, idle: engines[at].Work.Waiting == 0}
+	c := place.Choose(prompt, engines)
+	e := engines[c.Index]
+	return choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), expect: c.FirstToken, idle: e.Work.Waiting == 0, home: c.Home}
+}
+
+// placed notes that the endpoint will hold the shared part of the prompt. Other
+// hosts are told if they would look for it elsewhere.
+func (j *job) placed(c choice, weights int) {
+	if !j.isModel() {
+		return
+	}
+	p := kept.Placement{
+		Endpoint: c.endpoint.ID,
+		Weights:  weights,
+		Wall:     j.wall(),
+		Parts:    j.ask.Shared(),
+		Capacity: j.service.Engine.CacheTokens,
+	}
+	j.r.cfg.Kept.Add(p)
+	if !c.home {
+		j.r.cfg.Kept.Announce(p)
+	}
 }
 
 // receive takes the endpoint's answer.
 func (j *job) receive(ctx context.Context, c choice, reply *hop.Reply, ticket *load.Ticket, sent time.Time) (again bool, fault *rejection) {
-	a := j.r.cfg.Codec.Answer(reply.Header)
+	r := j.r
+	a := r.cfg.Codec.Answer(reply.Header)
 	if a.NotRun || reply.Status == http.StatusMisdirectedRequest {
 		j.drain(reply)
 		return true, refuse(http.StatusServiceUnavailable, retryBusy, "endpoint %s did not run the request: status %d", c.endpoint.ID, reply.Status)
@@ -202,6 +228,10 @@
 	if j.r.cfg.Shun.Succeeded(c.endpoint.ID) {
 		j.r.cfg.Logger.Info("endpoint answers again", "id", j.ask.ID, "endpoint", c.endpoint.ID)
 	}
+	if a.Weights > r.weights.of(c.endpoint, j.ask.Model) {
+		r.weights.answered(c.endpoint.ID, a.Weights)
+		j.placed(c, a.Weights)
+	}
 	success := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
 	if !a.Sealed || reply.Header.Get("Content-Encoding") != "" {
 		return j.broken(fmt.Sprintf("endpoint %s gave an answer without proof, status %d", c.endpoint.ID, reply.Status))
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -51,6 +51,8 @@
 	Poison *poison.Table
 	// FailureDomain is the host's own.
 	FailureDomain string
+	// OldWeights is how long requests may begin on weights that were replaced.
+	OldWeights time.Duration
 	// KeyFreshness is how old the proof may be that a key still holds.
 	KeyFreshness time.Duration
 	// MaxBuffered bounds the bytes of request bodies held at once.
@@ -63,6 +65,7 @@
 type Relay struct {
 	cfg      Config
 	speed    *speed
+	weights  *weights
 	turn     atomic.Uint64
 	buffered atomic.Int64
 	inFlight atomic.Int64
@@ -79,6 +82,7 @@
 	r := &Relay{
 		cfg:     cfg,
 		speed:   newSpeed(),
+		weights: newWeights(),
 		latency: cfg.Metrics.NewHistogram("cicada_relay_seconds"),
 		first:   cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
 	}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -134,7 +134,6 @@
 	if c.idle {
 		j.r.speed.observe(c.endpoint.ID, c.read, j.r.cfg.Clock.Now().Sub(sent))
 	}
-	j.r.cfg.Kept.Add(c.endpoint.ID, c.endpoint.Weights[j.ask.Model], j.wall(), j.ask.Shared(), j.service.Engine.CacheTokens)
 }
 
 // event passes one event on.
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -20,9 +20,11 @@
 
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/proto/loadpb"
 	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/kept"
 )
 
 // Registry is where hosts find each other.
@@ -46,6 +48,7 @@
 	Registry Registry
 	Loads    *load.Table
 	Poison   *poison.Table
+	Kept     *kept.Index
 	// Changing is told which endpoints change weights, whoever ordered it.
 	Changing func(endpoints map[string]bool)
 	// Registered is told how many hosts have ever registered.
@@ -238,11 +241,15 @@
 }
 
 // Change sets the endpoints that change weights by this host's orders.
-func (s *Service) Change(endpoints map[string]bool) {
+func (s *Service) Change(ctx context.Context, endpoints map[string]bool) {
 	s.mu.Lock()
+	news := len(endpoints) > len(s.own) || lo.SomeBy(s.own, func(id string) bool { return !endpoints[id] })
 	s.own = lo.Keys(endpoints)
 	s.mu.Unlock()
 	s.review()
+	if news {
+		s.tell(ctx)
+	}
 }
 
 // Leave tells the peers that this host stops.
@@ -311,6 +318,7 @@
 	for id, w := range s.cfg.Loads.Own() {
 		out.Work = append(out.Work, &loadpb.Work{Endpoint: id, Waiting: uint32(w.Waiting), Running: uint32(w.Running), Tokens: uint32(max(0, w.Tokens))})
 	}
+	out.Placements = lo.Map(s.cfg.Kept.News(), placementMessage)
 	for _, suspect := range s.cfg.Poison.Suspects(maxSuspects, now) {
 		out.Suspects = append(out.Suspects, &loadpb.Suspect{
 			Fingerprint: suspect.Fingerprint[:],
@@ -331,6 +339,9 @@
 		s.cfg.Loads.Told(host, lo.SliceToMap(in.GetWork(), workFrom), now)
 	}
 	s.cfg.Poison.Merge(lo.FilterMap(in.GetSuspects(), s.suspectFrom), s.cfg.Clock.Now())
+	for _, p := range in.GetPlacements() {
+		s.cfg.Kept.Add(placementFrom(p))
+	}
 	s.mu.Lock()
 	s.changing[host] = word{endpoints: in.GetChanging(), at: now}
 	s.mu.Unlock()
@@ -351,3 +362,27 @@
 	out.Last = s.cfg.Clock.Now().Add(-time.Duration(in.GetAgeMs()) * time.Millisecond)
 	return out, true
 }
+
+func placementMessage(p kept.Placement, _ int) *loadpb.Placement {
+	return &loadpb.Placement{
+		Endpoint: p.Endpoint,
+		Weights:  uint32(p.Weights),
+		Wall:     p.Wall,
+		Capacity: uint32(p.Capacity),
+		Parts: lo.Map(p.Parts, func(part call.Part, _ int) *loadpb.Part {
+			return &loadpb.Part{Id: part.ID, Tokens: uint32(part.Tokens)}
+		}),
+	}
+}
+
+func placementFrom(p *loadpb.Placement) kept.Placement {
+	return kept.Placement{
+		Endpoint: p.GetEndpoint(),
+		Weights:  int(p.GetWeights()),
+		Wall:     p.GetWall(),
+		Capacity: int(p.GetCapacity()),
+		Parts: lo.Map(p.GetParts(), func(part *loadpb.Part, _ int) call.Part {
+			return call.Part{ID: part.GetId(), Tokens: int(part.GetTokens())}
+		}),
+	}
+}
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -104,7 +104,7 @@
 		w.cfg.Logger.Info("configuration", "version", p.Config.Version, "next", p.Next)
 	}
 	for model, version := range p.Weights {
-		if w.cfg.Board.SetWeights(model, version) {
+		if w.cfg.Board.SetWeights(model, version, w.cfg.Clock.Boot()) {
 			w.cfg.Logger.Info("weights named", "model", model, "version", version, "next", p.Next)
 		}
 	}
--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -50,7 +50,7 @@
 	Engines Engines
 	Loads   Loads
 	// Changed is told which engines are about to change weights.
-	Changed func(engines map[string]bool)
+	Changed func(ctx context.Context, engines map[string]bool)
 	Logger  hclog.Logger
 }
 
@@ -62,6 +62,9 @@
 	yieldTime = 300 * time.Millisecond
 	// reportInterval is the time between reports of an engine that changes.
 	reportInterval = 250 * time.Millisecond
+	// pauseNotice is the time in which peers stop sending to an engine before it
+	// gets its order.
+	pauseNotice = 20 * time.Millisecond
 )
 
 // Runner gives orders while this host holds the lease.
@@ -105,7 +108,7 @@
 	behind := r.plan.Behind(r.cfg.Board.View(), now)
 	if len(behind) == 0 {
 		r.noted = 0
-		r.pause(nil)
+		r.pause(ctx, nil)
 		return
 	}
 	if r.noted == 0 {
@@ -115,18 +118,22 @@
 		return
 	}
 	r.check(ctx)
-	for _, o := range r.plan.Next(r.cfg.Board.View(), r.cfg.Loads(), r.cfg.Clock.Boot()) {
+	next := r.plan.Next(r.cfg.Board.View(), r.cfg.Loads(), r.cfg.Clock.Boot())
+	r.pause(ctx, r.plan.Changing())
+	if len(next) > 0 && clock.Sleep(ctx, r.cfg.Clock, pauseNotice) != nil {
+		return
+	}
+	for _, o := range next {
 		r.order(ctx, o)
 	}
-	r.pause(r.plan.Changing())
 }
 
-func (r *Runner) pause(engines map[string]bool) {
+func (r *Runner) pause(ctx context.Context, engines map[string]bool) {
 	if len(engines) == 0 && len(r.paused) == 0 {
 		return
 	}
 	r.paused = engines
-	r.cfg.Changed(engines)
+	r.cfg.Changed(ctx, engines)
 }
 
 // acquire asks for the lease once that can succeed.
@@ -143,8 +150,10 @@
 	err := r.cfg.Leases.Take(ctx, r.lease.End(), r.cfg.Host, nonce)
 	switch {
 	case err == nil:
+		if !r.lease.WasLast() {
+			r.plan.Reset()
+		}
 		r.lease.Won()
-		r.plan.Reset()
 		r.cfg.Logger.Info("lease taken", "fence", r.lease.Fence())
 		return true
 	case feed.IsErrMoved(err):
@@ -188,10 +197,20 @@
 	}
 }
 
-// order gives one order. The lease is looked at last thing before it is sent.
+// order gives one order, once the engine's count of orders is known. The lease is looked at last thing before it is sent.
 func (r *Runner) order(ctx context.Context, o plan.Step) {
+	if o.OrderCount == plan.Unknown {
+		report, err := r.cfg.Engines.Report(ctx, o.Endpoint)
+		if err != nil {
+			r.plan.Ordered(o, feed.Conflict, nil, r.cfg.Clock.Boot())
+			r.cfg.Logger.Warn("no report before order", "endpoint", o.Endpoint.ID, "error", err)
+			return
+		}
+		o.OrderCount = report.OrderCount
+	}
 	now := r.cfg.Clock.Boot()
 	if !r.lease.Holds(now) {
+		r.plan.Ordered(o, feed.Conflict, nil, now)
 		return
 	}
 	r.asked[o.Endpoint.ID] = now
