--- /dev/null
+++ b/core/coord/hubs/hubs.go
@@ -0,0 +1,124 @@
+// Package hubs decides which host of a failure domain speaks for it.
+//
+// It answers the growth of a system: if each host told each other host, messages
+// would grow with the square of their number, and so would reads of the store.
+// Hosts of a domain tell one of them, their hub, and hubs tell each other. All
+// hosts choose alike without exchanging anything; a hub that does not answer is
+// passed over for a time, so no agreement is needed and no work depends on it.
+package hubs
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/proto/feed"
+)
+
+// Config says who this host is.
+type Config struct {
+	Self feed.Host
+	// RetryAfter is when a hub that did not answer is tried again.
+	RetryAfter time.Duration
+}
+
+// Table knows the hosts that have registered. It is safe for concurrent use.
+//
+// Lock order: Table.mu is a leaf.
+type Table struct {
+	cfg   Config
+	mu    sync.Mutex
+	hosts map[string]feed.Host
+	// until is when a host that failed is tried again.
+	until map[string]time.Duration
+}
+
+// New returns a table that knows this host alone.
+func New(cfg Config) *Table {
+	return &Table{
+		cfg:   cfg,
+		hosts: map[string]feed.Host{cfg.Self.Name: cfg.Self},
+		until: make(map[string]time.Duration),
+	}
+}
+
+// Learn takes a host. It reports whether anything about it is new.
+func (t *Table) Learn(h feed.Host) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h.Name == t.cfg.Self.Name || t.hosts[h.Name] == h {
+		return false
+	}
+	t.hosts[h.Name] = h
+	delete(t.until, h.Name)
+	return true
+}
+
+// Len returns the number of hosts that are known.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.hosts)
+}
+
+// Failed notes that a host did not answer.
+func (t *Table) Failed(name string, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.until[name] = now + t.cfg.RetryAfter
+}
+
+// Answered notes that a host answered.
+func (t *Table) Answered(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.until, name)
+}
+
+// Own returns the hub of this host's domain. It may be this host.
+func (t *Table) Own(now time.Duration) feed.Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.first(t.cfg.Self.FailureDomain, now)
+	if !ok {
+		return t.cfg.Self
+	}
+	return h
+}
+
+// Others returns the hubs of the other domains.
+func (t *Table) Others(now time.Duration) []feed.Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	domains := lo.Uniq(lo.MapToSlice(t.hosts, func(_ string, h feed.Host) string { return h.FailureDomain }))
+	var out []feed.Host
+	for _, d := range domains {
+		if d == t.cfg.Self.FailureDomain {
+			continue
+		}
+		if h, ok := t.first(d, now); ok {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// first returns the host of a domain that comes first by rendezvous hashing,
+// among those that answer.
+func (t *Table) first(domain string, now time.Duration) (feed.Host, bool) {
+	candidates := lo.Filter(lo.Values(t.hosts), func(h feed.Host, _ int) bool {
+		return h.FailureDomain == domain && now >= t.until[h.Name]
+	})
+	if len(candidates) == 0 {
+		return feed.Host{}, false
+	}
+	return slices.MinFunc(candidates, func(a, b feed.Host) int {
+		return cmp.Or(cmp.Compare(weight(domain, a.Name), weight(domain, b.Name)), cmp.Compare(a.Name, b.Name))
+	}), true
+}
+
+func weight(domain, host string) uint64 { return xxhash.Sum64String(domain + "/" + host) }
--- a/core/coord/load/load.go
+++ b/core/coord/load/load.go
@@ -40,8 +40,22 @@
 	peers       map[string]peer
 }
 
+// Scope says whose work a word is about.
+type Scope int
+
+// The scopes.
+const (
+	// Member is one host of this host's failure domain.
+	Member Scope = iota
+	// Domain is all of another failure domain, by the word of its hub.
+	Domain
+	// Rest is all hosts but this one, by the word of this host's hub.
+	Rest
+)
+
 type peer struct {
 	heard time.Duration
+	scope Scope
 	work  map[string]Work
 }
 
@@ -97,11 +111,18 @@
 	return maps.Clone(t.own)
 }
 
-// Told takes what a peer has at endpoints.
-func (t *Table) Told(host string, work map[string]Work, now time.Duration) {
+// Told takes a peer's word on the work at endpoints. What a hub says of the rest
+// stands for all that was heard before, and ends with the first word of another
+// kind: then this host has become a hub itself.
+func (t *Table) Told(name string, scope Scope, work map[string]Work, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[host] = peer{heard: now, work: work}
+	for other, p := range t.peers {
+		if (p.scope == Rest) != (scope == Rest) || scope == Rest && other != name {
+			delete(t.peers, other)
+		}
+	}
+	t.peers[name] = peer{heard: now, scope: scope, work: work}
 }
 
 // Left forgets a peer that stops.
@@ -111,21 +132,30 @@
 	delete(t.peers, host)
 }
 
-// Peers returns how many peers were heard of lately.
-func (t *Table) Peers(now time.Duration) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.forget(now)
-	return len(t.peers)
-}
-
 // At returns the work of all hosts at each endpoint.
 func (t *Table) At(now time.Duration) map[string]Work {
+	return t.sum(now, func(string, peer) bool { return true })
+}
+
+// Without returns the work of all hosts but one.
+func (t *Table) Without(name string, now time.Duration) map[string]Work {
+	return t.sum(now, func(n string, _ peer) bool { return n != name })
+}
+
+// OfDomain returns the work of this host's failure domain.
+func (t *Table) OfDomain(now time.Duration) map[string]Work {
+	return t.sum(now, func(_ string, p peer) bool { return p.scope == Member })
+}
+
+func (t *Table) sum(now time.Duration, counts func(string, peer) bool) map[string]Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
 	sum := maps.Clone(t.own)
-	for _, p := range t.peers {
+	for name, p := range t.peers {
+		if !counts(name, p) {
+			continue
+		}
 		for endpoint, w := range p.work {
 			sum[endpoint] = sum[endpoint].Add(w)
 		}
--- a/core/coord/shun/shun.go
+++ b/core/coord/shun/shun.go
@@ -49,6 +49,15 @@
 	return !known
 }
 
+// Refused notes that the endpoint takes nothing for a moment, though it is sound.
+func (t *Table) Refused(endpoint string, now, pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.by[endpoint]
+	s.until = max(s.until, now+pause)
+	t.by[endpoint] = s
+}
+
 // Succeeded ends the shunning of an endpoint. It reports whether it was shunned.
 func (t *Table) Succeeded(endpoint string) bool {
 	t.mu.Lock()
--- a/core/proto/feed/feed.go
+++ b/core/proto/feed/feed.go
@@ -104,3 +104,17 @@
 	// Refused orders will never be accepted.
 	Refused
 )
+
+// String returns the verdict as logs show it.
+func (v Verdict) String() string {
+	switch v {
+	case Accepted:
+		return "accepted"
+	case AlreadyDone:
+		return "already-done"
+	case Conflict:
+		return "conflict"
+	default:
+		return "refused"
+	}
+}
--- a/core/state/kept/kept.go
+++ b/core/state/kept/kept.go
@@ -18,15 +18,10 @@
 //
 // Lock order: Index.mu is a leaf.
 type Index struct {
-	mu   sync.Mutex
-	by   map[string]*cache
-	news []Placement
+	mu sync.Mutex
+	by map[string]*cache
 }
 
-// maxNews bounds the placements that wait to be told; in a burst the older ones
-// are told and the rest is found out by reading again.
-const maxNews = 64
-
 // Placement is one prompt's shared part at an endpoint.
 type Placement struct {
 	Endpoint string
@@ -94,24 +89,6 @@
 	}
 }
 
-// Announce keeps a placement until the peers are told.
-func (x *Index) Announce(p Placement) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if len(x.news) < maxNews {
-		x.news = append(x.news, p)
-	}
-}
-
-// News returns the placements to tell peers of, each once.
-func (x *Index) News() []Placement {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	out := x.news
-	x.news = nil
-	return out
-}
-
 func (c *cache) add(key string, tokens int) {
 	if e, ok := c.parts[key]; ok {
 		c.order.MoveToFront(e)
--- /dev/null
+++ b/core/state/sight/roster.go
@@ -0,0 +1,25 @@
+package sight
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/state/site"
+)
+
+// Fingerprint identifies a list of endpoints by its content.
+func Fingerprint(list map[string]*site.Endpoint) uint64 {
+	all := lo.Values(list)
+	slices.SortFunc(all, func(a, b *site.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	var d xxhash.Digest
+	d.Reset()
+	for _, e := range all {
+		// Writes to a digest can't fail; %v prints maps in the order of their keys.
+		_, _ = fmt.Fprintf(&d, "%s %s %s %s %d %t %d %v\n", e.ID, e.Service, e.Address, e.FailureDomain, e.Slots, e.Leaving, e.Started.UnixMilli(), e.Weights)
+	}
+	return d.Sum64()
+}
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -17,6 +17,7 @@
 	"github.com/samber/lo"
 
 	"cicadastand.dev/core/coord/budget"
+	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/shun"
@@ -58,9 +59,14 @@
 	bodyShare = 0.15
 	// keyMargin is the time from the last look at a key to its use at the endpoint.
 	keyMargin = 500 * time.Millisecond
-	// publishedWait is a read of the configuration: two of them and an answer stay
-	// within the time for which a key may be used.
-	publishedWait = 1500 * time.Millisecond
+	// publishedWait is a read of the configuration: two of them and the way through
+	// a hub stay below directAfter.
+	publishedWait = time.Second
+	// directAfter is the age of the newest read at which a host reads for itself:
+	// early enough that the proof of a key can be renewed before it ends.
+	directAfter = 2700 * time.Millisecond
+	// hubRetry is when a hub that did not answer is tried again.
+	hubRetry = 2 * time.Second
 	// entriesInterval keeps an endpoint's leaving known well within its drain time.
 	entriesInterval = 800 * time.Millisecond
 	// shareInterval is the age of what peers know of each other's work.
@@ -104,6 +110,7 @@
 	hop      *hop.Pool
 	relay    *relay.Relay
 	share    *share.Service
+	registry *share.Registrar
 	watch    *watch.Watcher
 	weight   *weight.Runner
 	metrics  *metrics.Set
@@ -141,6 +148,7 @@
 		FreshFor:    freshChannel,
 		MaxIdle:     maxIdle,
 	})
+	news := kept.NewNews()
 	h.relay = relay.New(relay.Config{
 		Clock:         cfg.Clock,
 		Codec:         cfg.Platform.Codec,
@@ -148,6 +156,7 @@
 		Hop:           h.hop,
 		Loads:         h.loads,
 		Kept:          h.kept,
+		News:          news,
 		Shun:          h.shun,
 		Budget:        repeats,
 		Poison:        suspects,
@@ -158,33 +167,47 @@
 		Logger:        cfg.Logger,
 		Metrics:       h.metrics,
 	})
+	self := feed.Host{Name: s.Host, FailureDomain: s.FailureDomain, Address: netip.AddrPortFrom(s.Address, s.FirstPort).String()}
+	table := hubs.New(hubs.Config{Self: self, RetryAfter: hubRetry})
 	h.watch = watch.New(watch.Config{
 		Clock:           cfg.Clock,
 		Store:           cfg.Platform.Source,
 		Board:           h.board,
+		IsHub:           h.isHub,
+		DirectAfter:     directAfter,
 		PublishedWait:   publishedWait,
 		EntriesInterval: entriesInterval,
 		Logger:          cfg.Logger,
 		Metrics:         h.metrics,
 	})
 	h.share = share.New(share.Config{
+		Clock:    cfg.Clock,
+		Self:     self,
+		Hubs:     table,
+		Reads:    h.watch,
+		Loads:    h.loads,
+		Poison:   suspects,
+		Kept:     h.kept,
+		News:     news,
+		Changing: h.relay.Pause,
+		Interval: shareInterval,
+		Logger:   cfg.Logger,
+		Metrics:  h.metrics,
+	})
+	h.registry = share.NewRegistrar(share.RegistrarConfig{
 		Clock:      cfg.Clock,
-		Self:       feed.Host{Name: s.Host, FailureDomain: s.FailureDomain, Address: netip.AddrPortFrom(s.Address, s.FirstPort).String()},
+		Self:       self,
 		Registry:   cfg.Platform.Source,
-		Loads:      h.loads,
-		Poison:     suspects,
-		Kept:       h.kept,
-		Changing:   h.relay.Pause,
+		Hubs:       table,
 		Registered: repeats.SetHosts,
-		Interval:   shareInterval,
 		Logger:     cfg.Logger,
-		Metrics:    h.metrics,
 	})
 	h.weight = weight.New(weight.Config{
 		Clock:   cfg.Clock,
 		Host:    s.Host,
 		Lease:   s.Bounds.Lease,
 		Board:   h.board,
+		MayLead: h.isHub,
 		Leases:  cfg.Platform.Source,
 		Engines: cfg.Platform.Engines,
 		Loads:   h.requests,
@@ -194,6 +217,9 @@
 	return h
 }
 
+// isHub reports whether this host reads the store for its failure domain.
+func (h *Host) isHub() bool { return h.share.IsHub() }
+
 // requests returns how many requests are at each endpoint.
 func (h *Host) requests() map[string]int {
 	return lo.MapValues(h.loads.At(h.cfg.Clock.Boot()), func(w load.Work, _ string) int { return w.Requests() })
@@ -219,7 +245,7 @@
 	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h.cancel = cancel
 	for _, loop := range []func(context.Context){
-		h.watch.RunPublished, h.watch.RunEntries, h.share.RunRegistry, h.share.Run, h.weight.Run, h.sweep,
+		h.watch.RunPublished, h.watch.RunEntries, h.registry.Run, h.share.Run, h.weight.Run, h.sweep,
 	} {
 		h.workers.Add(1)
 		p := &part{loop: loop, done: &h.workers}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -15,6 +15,10 @@
 	"cicadastand.dev/router/hop"
 )
 
+// refusedPause is how long an endpoint that refused takes no requests: about the
+// time to load weights, or to read some prompts of its queue.
+const refusedPause = 150 * time.Millisecond
+
 // maxAnswer bounds an answer that is read whole before it is passed on.
 const maxAnswer = 8 << 20
 
@@ -57,6 +61,7 @@
 		return false, errTimeout
 	}
 	j.sends++
+	j.ran++
 	j.endpoint = c.endpoint.ID
 	j.tried[c.endpoint.ID] = true
 	j.placed(c, r.weights.of(c.endpoint, j.ask.Model))
@@ -109,6 +114,7 @@
 		j.shun(c, err)
 	}
 	if hop.IsErrUnsent(err) {
+		j.ran--
 		return true, refuse(http.StatusServiceUnavailable, retryBusy, "endpoint %s: %v", c.endpoint.ID, err)
 	}
 	if ctx.Err() != nil {
@@ -213,7 +219,7 @@
 	}
 	j.r.cfg.Kept.Add(p)
 	if !c.home {
-		j.r.cfg.Kept.Announce(p)
+		j.r.cfg.News.Announce(p, func(string) bool { return true })
 	}
 }
 
@@ -223,6 +229,8 @@
 	a := r.cfg.Codec.Answer(reply.Header)
 	if a.NotRun || reply.Status == http.StatusMisdirectedRequest {
 		j.drain(reply)
+		j.ran--
+		r.cfg.Shun.Refused(c.endpoint.ID, r.cfg.Clock.Boot(), refusedPause)
 		return true, refuse(http.StatusServiceUnavailable, retryBusy, "endpoint %s did not run the request: status %d", c.endpoint.ID, reply.Status)
 	}
 	if j.r.cfg.Shun.Succeeded(c.endpoint.ID) {
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// maxSends bounds the sends of a request that endpoints refuse unrun.
+	maxSends = 4
 	// maxCrashes is the number of endpoints that a request may take down.
 	maxCrashes = 2
 	// defaultMaxBody is used where the configuration sets no bound.
@@ -46,7 +48,9 @@
 	due      time.Time
 	patience time.Time
 
-	sends    int
+	sends int
+	// ran counts the sends after which the endpoint may have run the request.
+	ran      int
 	tried    map[string]bool
 	endpoint string
 	// last is an answer that an endpoint gave and that is kept in case no better comes.
@@ -231,7 +235,7 @@
 
 // mayRepeat reports whether one more send is allowed.
 func (j *job) mayRepeat() bool {
-	return j.sends < j.route.MaxAttempts && j.r.cfg.Budget.Repeat(j.serviceName, j.r.cfg.Clock.Boot())
+	return j.ran < j.route.MaxAttempts && j.sends < maxSends && j.r.cfg.Budget.Repeat(j.serviceName, j.r.cfg.Clock.Boot())
 }
 
 // giveUp ends a request that no endpoint has answered well.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -40,13 +40,15 @@
 
 // Config says what a Relay works with.
 type Config struct {
-	Clock  Timer
-	Codec  Codec
-	Board  *sight.Board
-	Hop    *hop.Pool
-	Loads  *load.Table
-	Kept   *kept.Index
-	Shun   *shun.Table
+	Clock Timer
+	Codec Codec
+	Board *sight.Board
+	Hop   *hop.Pool
+	Loads *load.Table
+	Kept  *kept.Index
+	Shun  *shun.Table
+	// News is told of placements that other hosts would not expect.
+	News   *kept.News
 	Budget *budget.Book
 	Poison *poison.Table
 	// FailureDomain is the host's own.
--- /dev/null
+++ b/router/share/message.go
@@ -0,0 +1,114 @@
+package share
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/core/proto/loadpb"
+	"cicadastand.dev/core/state/kept"
+	"cicadastand.dev/core/state/site"
+)
+
+// hubReader marks a hub among the readers of news; hosts of the domain stand
+// there under their name.
+const hubReader = "hub "
+
+func isHubReader(reader string) bool { return strings.HasPrefix(reader, hubReader) }
+
+func workMessage(work map[string]load.Work) []*loadpb.Work {
+	return lo.MapToSlice(work, func(id string, w load.Work) *loadpb.Work {
+		return &loadpb.Work{Endpoint: id, Waiting: uint32(max(0, w.Waiting)), Running: uint32(max(0, w.Running)), Tokens: uint32(max(0, w.Tokens))}
+	})
+}
+
+func workFrom(in []*loadpb.Work) map[string]load.Work {
+	return lo.SliceToMap(in, func(w *loadpb.Work) (string, load.Work) {
+		return w.GetEndpoint(), load.Work{Waiting: int(w.GetWaiting()), Running: int(w.GetRunning()), Tokens: int(w.GetTokens())}
+	})
+}
+
+func (s *Service) suspects() []*loadpb.Suspect {
+	now := s.cfg.Clock.Now()
+	return lo.Map(s.cfg.Poison.Suspects(maxSuspects, now), func(p poison.Suspect, _ int) *loadpb.Suspect {
+		return &loadpb.Suspect{Fingerprint: p.Fingerprint[:], Crashes: uint32(p.Crashes), AgeMs: uint32(max(0, now.Sub(p.Last).Milliseconds()))}
+	})
+}
+
+func (s *Service) takeSuspects(in []*loadpb.Suspect) {
+	now := s.cfg.Clock.Now()
+	s.cfg.Poison.Merge(lo.FilterMap(in, func(m *loadpb.Suspect, _ int) (poison.Suspect, bool) {
+		out := poison.Suspect{Crashes: int(m.GetCrashes()), Last: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)}
+		return out, copy(out.Fingerprint[:], m.GetFingerprint()) == len(out.Fingerprint)
+	}), now)
+}
+
+func placementMessage(p kept.Placement, _ int) *loadpb.Placement {
+	return &loadpb.Placement{
+		Endpoint: p.Endpoint,
+		Weights:  uint32(p.Weights),
+		Wall:     p.Wall,
+		Capacity: uint32(p.Capacity),
+		Parts: lo.Map(p.Parts, func(part call.Part, _ int) *loadpb.Part {
+			return &loadpb.Part{Id: part.ID, Tokens: uint32(part.Tokens)}
+		}),
+	}
+}
+
+func placementFrom(p *loadpb.Placement) kept.Placement {
+	return kept.Placement{
+		Endpoint: p.GetEndpoint(),
+		Weights:  int(p.GetWeights()),
+		Wall:     p.GetWall(),
+		Capacity: int(p.GetCapacity()),
+		Parts: lo.Map(p.GetParts(), func(part *loadpb.Part, _ int) call.Part {
+			return call.Part{ID: part.GetId(), Tokens: int(part.GetTokens())}
+		}),
+	}
+}
+
+func endpointMessages(list map[string]*site.Endpoint) []*loadpb.Endpoint {
+	return lo.MapToSlice(list, func(_ string, e *site.Endpoint) *loadpb.Endpoint {
+		return &loadpb.Endpoint{
+			Id:        e.ID,
+			Service:   e.Service,
+			Address:   e.Address.String(),
+			Domain:    e.FailureDomain,
+			Slots:     uint32(e.Slots),
+			Leaving:   e.Leaving,
+			StartedMs: e.Started.UnixMilli(),
+			Weights:   lo.MapValues(e.Weights, func(v int, _ string) uint32 { return uint32(v) }),
+		}
+	})
+}
+
+// endpointsFrom returns nil if the message holds none.
+func endpointsFrom(in []*loadpb.Endpoint) map[string]*site.Endpoint {
+	if len(in) == 0 {
+		return nil
+	}
+	out := make(map[string]*site.Endpoint, len(in))
+	for _, m := range in {
+		address, err := netip.ParseAddrPort(m.GetAddress())
+		if err != nil {
+			// The hub has parsed the address before, so this is no endpoint to use.
+			continue
+		}
+		out[m.GetId()] = &site.Endpoint{
+			ID:            m.GetId(),
+			Service:       m.GetService(),
+			Address:       address,
+			FailureDomain: m.GetDomain(),
+			Slots:         int(m.GetSlots()),
+			Leaving:       m.GetLeaving(),
+			Started:       time.UnixMilli(m.GetStartedMs()),
+			Weights:       lo.MapValues(m.GetWeights(), func(v uint32, _ string) int { return int(v) }),
+		}
+	}
+	return out
+}
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -1,5 +1,5 @@
-// Package share is the contact between the hosts of a system on a platform: each
-// tells the others what it has sent to the endpoints.
+// Package share is the contact between the hosts of a system on a platform: what
+// each has sent to the endpoints, and what the hubs have read from the store.
 package share
 
 import (
@@ -15,44 +15,49 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
+	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/poison"
-	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/proto/loadpb"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kept"
+	"cicadastand.dev/core/state/site"
 )
 
-// Registry is where hosts find each other.
-type Registry interface {
-	// Register writes this host's entry.
-	Register(ctx context.Context, h feed.Host) error
-	// Hosts returns the hosts registered since an offset, waiting up to wait for a new one.
-	Hosts(ctx context.Context, from int64, wait time.Duration) (feed.Hosts, error)
-}
-
 // Timer is the service that tells both kinds of time.
 type Timer interface {
 	clock.Service
 	clock.Boot
 }
 
+// Reads is what this host has read of the store, or heard from its hub.
+type Reads interface {
+	// Published returns the offset after the newest record of the operator, and
+	// the start of the read that showed it; false if there was none.
+	Published() (next int64, started time.Duration, ok bool)
+	// Roster returns the endpoints with their fingerprint and the start of the read.
+	Roster() (list map[string]*site.Endpoint, fingerprint uint64, started time.Duration, ok bool)
+	// HeardPublished takes a read of another host.
+	HeardPublished(next int64, started time.Duration)
+	// HeardRoster takes the endpoints from another host; nil if they are those
+	// that this host believes.
+	HeardRoster(list map[string]*site.Endpoint, started time.Duration)
+}
+
 // Config says what a Service works with.
 type Config struct {
-	Clock    Timer
-	Self     feed.Host
-	Registry Registry
-	Loads    *load.Table
-	Poison   *poison.Table
-	Kept     *kept.Index
+	Clock  Timer
+	Self   feed.Host
+	Hubs   *hubs.Table
+	Reads  Reads
+	Loads  *load.Table
+	Poison *poison.Table
+	Kept   *kept.Index
+	News   *kept.News
 	// Changing is told which endpoints change weights, whoever ordered it.
 	Changing func(endpoints map[string]bool)
-	// Registered is told how many hosts have ever registered.
-	Registered func(hosts int)
 	// Interval is the time between messages.
 	Interval time.Duration
 	Logger   hclog.Logger
@@ -61,17 +66,12 @@
 
 const (
 	// callTimeout bounds a message; a later one replaces it anyway.
-	callTimeout = 500 * time.Millisecond
-	// changingTrust is how long a peer's word on changing endpoints holds.
-	changingTrust = 2 * time.Second
-	// registryWait is how long a read of the registry waits for a new host.
-	registryWait = 20 * time.Second
-	// retryPause is the wait after a call to the registry that failed.
-	retryPause = time.Second
+	callTimeout = 400 * time.Millisecond
+	// wordTrust is how long a peer's word on changing endpoints holds, and how long
+	// a host that was asked as a hub acts as one.
+	wordTrust = 1500 * time.Millisecond
 	// maxSuspects bounds the suspects in one message.
 	maxSuspects = 32
-	// reconnect bounds the pause between trials to reach a peer.
-	reconnect = 2 * time.Second
 )
 
 // Service tells peers and hears from them.
@@ -82,12 +82,14 @@
 	cfg      Config
 	server   *grpc.Server
 	listener net.Listener
+	peers    *peers
 
 	mu       sync.Mutex
-	peers    map[string]*peer
 	changing map[string]word
 	own      []string
 	leaving  bool
+	// asked is when a host of the domain last spoke to this one as its hub.
+	asked time.Duration
 
 	failures *metrics.Counter
 }
@@ -98,25 +100,22 @@
 	at        time.Duration
 }
 
-type peer struct {
-	host   feed.Host
-	conn   *grpc.ClientConn
-	client loadpb.LoadClient
-	busy   bool
-}
-
 // New returns a service that has not started.
 func New(cfg Config) *Service {
 	return &Service{
 		cfg:      cfg,
-		peers:    make(map[string]*peer),
+		peers:    newPeers(),
 		changing: make(map[string]word),
+		asked:    -wordTrust,
 		failures: cfg.Metrics.NewCounter("cicada_share_failures_total"),
 	}
 }
 
 // Listen opens the listener and hears peers.
 func (s *Service) Listen(ctx context.Context) error {
+	if _, err := netip.ParseAddrPort(s.cfg.Self.Address); err != nil {
+		return fmt.Errorf("address for peers: %w", err)
+	}
 	var lc net.ListenConfig
 	listener, err := lc.Listen(ctx, "tcp", s.cfg.Self.Address)
 	if err != nil {
@@ -138,91 +137,9 @@
 // Close ends the server and all connections.
 func (s *Service) Close() {
 	s.server.Stop()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.peers {
-		if err := p.conn.Close(); err != nil {
-			s.cfg.Logger.Debug("close connection to peer", "peer", p.host.Name, "error", err)
-		}
-	}
-}
-
-// RunRegistry registers this host and learns of the others until ctx ends.
-func (s *Service) RunRegistry(ctx context.Context) {
-	from := feed.Newest
-	registered := false
-	for ctx.Err() == nil {
-		if !registered {
-			err := s.cfg.Registry.Register(ctx, s.cfg.Self)
-			registered = err == nil
-			if err != nil {
-				s.cfg.Logger.Warn("host not registered", "error", err)
-			}
-		}
-		wait := registryWait
-		if !registered {
-			wait = retryPause
-		}
-		h, err := s.cfg.Registry.Hosts(ctx, from, wait)
-		switch {
-		case feed.IsErrTrimmed(err):
-			from = feed.Newest
-		case err != nil:
-			s.cfg.Logger.Debug("registry can't be read", "error", err)
-			if clock.Sleep(ctx, s.cfg.Clock, retryPause) != nil {
-				return
-			}
-		default:
-			from = h.Next
-			s.learn(h)
-		}
-	}
-}
-
-func (s *Service) learn(h feed.Hosts) {
-	for _, fault := range h.Faults {
-		s.cfg.Logger.Warn("entry names no host", "error", fault)
-	}
-	for _, host := range h.Hosts {
-		if host.Name == s.cfg.Self.Name {
-			continue
-		}
-		if err := s.add(host); err != nil {
-			s.cfg.Logger.Warn("peer can't be used", "peer", host.Name, "error", err)
-		}
+	if err := s.peers.close(); err != nil {
+		s.cfg.Logger.Debug("close connections to peers", "error", err)
 	}
-	s.mu.Lock()
-	known := len(s.peers) + 1
-	s.mu.Unlock()
-	s.cfg.Registered(known)
-}
-
-func (s *Service) add(host feed.Host) error {
-	if _, err := netip.ParseAddrPort(host.Address); err != nil {
-		return fmt.Errorf("address of %s: %w", host.Name, err)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if old, ok := s.peers[host.Name]; ok {
-		if old.host == host {
-			return nil
-		}
-		if err := old.conn.Close(); err != nil {
-			s.cfg.Logger.Debug("close connection to peer", "peer", host.Name, "error", err)
-		}
-	}
-	conn, err := grpc.NewClient("passthrough:///"+host.Address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: retryPause / 4, Multiplier: 2, Jitter: 0.2, MaxDelay: reconnect},
-			MinConnectTimeout: callTimeout,
-		}))
-	if err != nil {
-		return fmt.Errorf("connect to %s: %w", host.Address, err)
-	}
-	s.peers[host.Name] = &peer{host: host, conn: conn, client: loadpb.NewLoadClient(conn)}
-	s.cfg.Logger.Info("peer", "name", host.Name, "address", host.Address)
-	return nil
 }
 
 // Run tells the peers until ctx ends.
@@ -240,14 +157,25 @@
 	}
 }
 
-// Change sets the endpoints that change weights by this host's orders.
+// IsHub reports whether this host speaks for its domain now. Two hosts may do so
+// for a time; each of them then counts those that speak to it.
+func (s *Service) IsHub() bool {
+	now := s.cfg.Clock.Boot()
+	s.mu.Lock()
+	asked := now-s.asked < wordTrust
+	s.mu.Unlock()
+	return asked || s.cfg.Hubs.Own(now).Name == s.cfg.Self.Name
+}
+
+// Change sets the endpoints that change weights by this host's orders, and tells
+// peers at once if they are others than before.
 func (s *Service) Change(ctx context.Context, endpoints map[string]bool) {
 	s.mu.Lock()
-	news := len(endpoints) > len(s.own) || lo.SomeBy(s.own, func(id string) bool { return !endpoints[id] })
+	missing, extra := lo.Difference(s.own, lo.Keys(endpoints))
 	s.own = lo.Keys(endpoints)
 	s.mu.Unlock()
 	s.review()
-	if news {
+	if len(missing)+len(extra) > 0 {
 		s.tell(ctx)
 	}
 }
@@ -262,127 +190,198 @@
 
 // review passes on which endpoints change weights by anyone's word.
 func (s *Service) review() {
+	s.cfg.Changing(lo.SliceToMap(s.changes(""), func(id string) (string, bool) { return id, true }))
+}
+
+// changes returns the endpoints that change weights by the word of anyone but one.
+func (s *Service) changes(except string) []string {
 	now := s.cfg.Clock.Boot()
 	s.mu.Lock()
-	all := lo.SliceToMap(s.own, func(id string) (string, bool) { return id, true })
-	for _, w := range s.changing {
-		if now-w.at > changingTrust {
-			continue
-		}
-		for _, id := range w.endpoints {
-			all[id] = true
+	defer s.mu.Unlock()
+	out := append([]string{}, s.own...)
+	for name, w := range s.changing {
+		if now-w.at <= wordTrust && name != except {
+			out = append(out, w.endpoints...)
 		}
 	}
+	return lo.Uniq(out)
+}
+
+func (s *Service) heardChanges(name string, endpoints []string) {
+	s.mu.Lock()
+	s.changing[name] = word{endpoints: endpoints, at: s.cfg.Clock.Boot()}
 	s.mu.Unlock()
-	s.cfg.Changing(all)
 }
 
-// tell sends this host's status to each peer that has taken the last one.
+// tell sends this host's word to its hub, or its domain's to the other hubs.
 func (s *Service) tell(ctx context.Context) {
-	status := s.status()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.peers {
-		if !p.busy {
-			p.busy = true
-			m := &message{s: s, p: p, status: status}
-			go m.run(ctx)
-		}
+	now := s.cfg.Clock.Boot()
+	own := s.cfg.Hubs.Own(now)
+	if own.Name != s.cfg.Self.Name {
+		s.send(ctx, own, false)
+	}
+	if !s.IsHub() {
+		return
+	}
+	for _, h := range s.cfg.Hubs.Others(now) {
+		s.send(ctx, h, true)
 	}
 }
 
+// send starts one message unless the last one to that host is still on its way.
+func (s *Service) send(ctx context.Context, to feed.Host, forDomain bool) {
+	client, done, err := s.peers.begin(to)
+	if err != nil {
+		s.cfg.Logger.Warn("peer can't be used", "peer", to.Name, "error", err)
+		return
+	}
+	if client == nil {
+		return
+	}
+	m := &message{s: s, to: to, client: client, done: done, status: s.status(to.Name, forDomain)}
+	go m.run(ctx)
+}
+
 // message is one status on its way to one peer.
 type message struct {
 	s      *Service
-	p      *peer
+	to     feed.Host
+	client loadpb.LoadClient
+	done   func()
 	status *loadpb.Status
 }
 
 func (m *message) run(ctx context.Context) {
+	defer m.done()
+	s := m.s
+	sent := s.cfg.Clock.Boot()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := m.p.client.Tell(ctx, m.status); err != nil {
-		m.s.failures.Inc()
-		m.s.cfg.Logger.Debug("peer not told", "peer", m.p.host.Name, "error", err)
+	heard, err := m.client.Tell(ctx, m.status)
+	if err != nil {
+		s.failures.Inc()
+		s.cfg.Hubs.Failed(m.to.Name, s.cfg.Clock.Boot())
+		s.cfg.Logger.Info("hub does not answer", "hub", m.to.Name, "error", err)
+		return
+	}
+	s.cfg.Hubs.Answered(m.to.Name)
+	if !m.status.GetForDomain() {
+		s.heard(m.to.Name, heard, sent)
 	}
-	m.s.mu.Lock()
-	defer m.s.mu.Unlock()
-	m.p.busy = false
 }
 
-func (s *Service) status() *loadpb.Status {
-	now := s.cfg.Clock.Now()
-	s.mu.Lock()
-	out := &loadpb.Status{Host: s.cfg.Self.Name, Leaving: s.leaving, Changing: s.own}
-	s.mu.Unlock()
-	for id, w := range s.cfg.Loads.Own() {
-		out.Work = append(out.Work, &loadpb.Work{Endpoint: id, Waiting: uint32(w.Waiting), Running: uint32(w.Running), Tokens: uint32(max(0, w.Tokens))})
+// heard takes the answer of this host's hub to a message sent at sent.
+func (s *Service) heard(hub string, in *loadpb.Heard, sent time.Duration) {
+	now := s.cfg.Clock.Boot()
+	if !s.IsHub() {
+		s.cfg.Loads.Told(hub, load.Rest, workFrom(in.GetWork()), now)
 	}
-	out.Placements = lo.Map(s.cfg.Kept.News(), placementMessage)
-	for _, suspect := range s.cfg.Poison.Suspects(maxSuspects, now) {
-		out.Suspects = append(out.Suspects, &loadpb.Suspect{
-			Fingerprint: suspect.Fingerprint[:],
-			Crashes:     uint32(suspect.Crashes),
-			AgeMs:       uint32(max(0, now.Sub(suspect.Last).Milliseconds())),
-		})
+	s.heardChanges(hub, in.GetChanging())
+	s.takeSuspects(in.GetSuspects())
+	for _, p := range in.GetPlacements() {
+		s.cfg.Kept.Add(placementFrom(p))
+	}
+	if m := in.GetPublished(); m.GetKnown() {
+		s.cfg.Reads.HeardPublished(m.GetNext(), sent-age(m))
+	}
+	if m := in.GetRosterRead(); m.GetKnown() {
+		s.cfg.Reads.HeardRoster(endpointsFrom(in.GetEndpoints()), sent-age(m))
 	}
-	return out
 }
 
-// Tell takes a peer's status.
+// age of a read by the hub's word. The read began no earlier than that long
+// before the message was sent, however late the answer comes.
+func age(m *loadpb.Mark) time.Duration { return time.Duration(m.GetAgeMs()) * time.Millisecond }
+
+// Tell takes a peer's word.
 func (s *Service) Tell(_ context.Context, in *loadpb.Status) (*loadpb.Heard, error) {
-	host := in.GetHost()
+	name := in.GetHost()
 	now := s.cfg.Clock.Boot()
-	if in.GetLeaving() {
-		s.cfg.Loads.Left(host)
+	scope := load.Member
+	if in.GetForDomain() {
+		scope, name = load.Domain, "domain "+in.GetDomain()
 	} else {
-		s.cfg.Loads.Told(host, lo.SliceToMap(in.GetWork(), workFrom), now)
+		s.mu.Lock()
+		s.asked = now
+		s.mu.Unlock()
 	}
-	s.cfg.Poison.Merge(lo.FilterMap(in.GetSuspects(), s.suspectFrom), s.cfg.Clock.Now())
-	for _, p := range in.GetPlacements() {
-		s.cfg.Kept.Add(placementFrom(p))
+	if in.GetLeaving() && scope == load.Member {
+		s.cfg.Loads.Left(name)
+	} else {
+		s.cfg.Loads.Told(name, scope, workFrom(in.GetWork()), now)
 	}
-	s.mu.Lock()
-	s.changing[host] = word{endpoints: in.GetChanging(), at: now}
-	s.mu.Unlock()
-	return &loadpb.Heard{}, nil
+	s.takeSuspects(in.GetSuspects())
+	s.heardChanges(name, in.GetChanging())
+	for _, m := range in.GetPlacements() {
+		p := placementFrom(m)
+		s.cfg.Kept.Add(p)
+		s.pass(p, in)
+	}
+	if in.GetForDomain() {
+		return &loadpb.Heard{}, nil
+	}
+	return s.answer(in, now), nil
 }
 
-func workFrom(w *loadpb.Work) (string, load.Work) {
-	return w.GetEndpoint(), load.Work{Waiting: int(w.GetWaiting()), Running: int(w.GetRunning()), Tokens: int(w.GetTokens())}
+// pass tells others of a placement: those of the own domain, and the other hubs
+// if it comes from the own domain.
+func (s *Service) pass(p kept.Placement, from *loadpb.Status) {
+	s.cfg.News.Announce(p, func(reader string) bool {
+		return reader != from.GetHost() && (!from.GetForDomain() || !isHubReader(reader))
+	})
 }
 
-func (s *Service) suspectFrom(in *loadpb.Suspect, _ int) (poison.Suspect, bool) {
-	var out poison.Suspect
-	if len(in.GetFingerprint()) != len(out.Fingerprint) {
-		return out, false
+// answer tells a host of the domain what all others have, and what was read.
+func (s *Service) answer(in *loadpb.Status, now time.Duration) *loadpb.Heard {
+	out := &loadpb.Heard{
+		Work:       workMessage(s.cfg.Loads.Without(in.GetHost(), now)),
+		Changing:   s.changes(in.GetHost()),
+		Suspects:   s.suspects(),
+		Placements: lo.Map(s.cfg.News.Take(in.GetHost(), now), placementMessage),
+	}
+	if next, started, ok := s.cfg.Reads.Published(); ok {
+		out.Published = mark(next, now-started)
+	}
+	if list, fingerprint, started, ok := s.cfg.Reads.Roster(); ok {
+		out.RosterRead = mark(0, now-started)
+		if fingerprint != in.GetRoster() {
+			out.Endpoints = endpointMessages(list)
+		}
 	}
-	copy(out.Fingerprint[:], in.GetFingerprint())
-	out.Crashes = int(in.GetCrashes())
-	out.Last = s.cfg.Clock.Now().Add(-time.Duration(in.GetAgeMs()) * time.Millisecond)
-	return out, true
+	return out
 }
 
-func placementMessage(p kept.Placement, _ int) *loadpb.Placement {
-	return &loadpb.Placement{
-		Endpoint: p.Endpoint,
-		Weights:  uint32(p.Weights),
-		Wall:     p.Wall,
-		Capacity: uint32(p.Capacity),
-		Parts: lo.Map(p.Parts, func(part call.Part, _ int) *loadpb.Part {
-			return &loadpb.Part{Id: part.ID, Tokens: uint32(part.Tokens)}
-		}),
-	}
+func mark(next int64, age time.Duration) *loadpb.Mark {
+	// Rounding up keeps the age from being told too young.
+	return &loadpb.Mark{Known: true, Next: next, AgeMs: uint32(max(0, age.Milliseconds()+1))}
 }
 
-func placementFrom(p *loadpb.Placement) kept.Placement {
-	return kept.Placement{
-		Endpoint: p.GetEndpoint(),
-		Weights:  int(p.GetWeights()),
-		Wall:     p.GetWall(),
-		Capacity: int(p.GetCapacity()),
-		Parts: lo.Map(p.GetParts(), func(part *loadpb.Part, _ int) call.Part {
-			return call.Part{ID: part.GetId(), Tokens: int(part.GetTokens())}
-		}),
+// status is this host's word, or its domain's.
+func (s *Service) status(to string, forDomain bool) *loadpb.Status {
+	now := s.cfg.Clock.Boot()
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	out := &loadpb.Status{
+		Host:      s.cfg.Self.Name,
+		Domain:    s.cfg.Self.FailureDomain,
+		ForDomain: forDomain,
+		Leaving:   leaving,
+		Suspects:  s.suspects(),
 	}
+	if forDomain {
+		out.Work = workMessage(s.cfg.Loads.OfDomain(now))
+		out.Changing = s.changes("")
+		out.Placements = lo.Map(s.cfg.News.Take(hubReader+to, now), placementMessage)
+		return out
+	}
+	out.Work = workMessage(s.cfg.Loads.Own())
+	s.mu.Lock()
+	out.Changing = s.own
+	s.mu.Unlock()
+	out.Placements = lo.Map(s.cfg.News.Take(hubReader+to, now), placementMessage)
+	if _, fingerprint, _, ok := s.cfg.Reads.Roster(); ok {
+		out.Roster = fingerprint
+	}
+	return out
 }
--- a/router/watch/roster.go
+++ b/router/watch/roster.go
@@ -69,6 +69,13 @@
 	return out
 }
 
+// replace takes the whole list of another host, which has held what it had to.
+func (r *roster) replace(list map[string]*site.Endpoint, now time.Duration) []change {
+	r.hold = 0
+	r.read = now
+	return r.take(feed.Entries{Whole: true, Present: list}, now)
+}
+
 // difference names what is new about an entry; it is empty if nothing is.
 func difference(old, now *site.Endpoint) string {
 	switch {
@@ -80,6 +87,8 @@
 		return "leaving"
 	case !maps.Equal(old.Weights, now.Weights):
 		return "weights"
+	case old.Address != now.Address || old.Service != now.Service || old.Slots != now.Slots || old.Leaving != now.Leaving:
+		return "entry"
 	default:
 		return ""
 	}
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -1,8 +1,14 @@
 // Package watch keeps a host's board current from the platform's store.
+//
+// The hub of a failure domain reads for all of its hosts: each read has its
+// price, and most show only that nothing is new. A host reads for itself what
+// its hub has seen and it has not, and everything while it hears of no fresh
+// read.
 package watch
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,6 +17,7 @@
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/sight"
+	"cicadastand.dev/core/state/site"
 )
 
 // Store is the reading side of the platform's store.
@@ -33,70 +40,130 @@
 	Clock Timer
 	Store Store
 	Board *sight.Board
+	// IsHub reports whether this host reads for its failure domain.
+	IsHub func() bool
 	// PublishedWait is how long one read waits for the operator. The proof that a
 	// key holds is as old as two such reads at most.
 	PublishedWait time.Duration
 	// EntriesInterval is the time between reads of the endpoints' entries.
 	EntriesInterval time.Duration
-	Logger          hclog.Logger
-	Metrics         *metrics.Set
+	// DirectAfter is the age of the newest read, anyone's, at which a host reads
+	// for itself.
+	DirectAfter time.Duration
+	Logger      hclog.Logger
+	Metrics     *metrics.Set
 }
 
 const (
 	// retryPause is the wait after a read that failed. Each call has its price,
 	// and a store that turns hosts away is not helped by more of them.
 	retryPause = 400 * time.Millisecond
+	// lookInterval is the time between looks at whether to read.
+	lookInterval = 200 * time.Millisecond
 	// outageAfter is the time without a read after which entries may have lapsed
 	// because the store was away: the renewals of the endpoints failed as well.
-	outageAfter = 1500 * time.Millisecond
+	outageAfter = 2500 * time.Millisecond
 	// returnTime is how long endpoints that live have to renew their entries after
 	// the store's return, as the platform promises it.
 	returnTime = 2 * time.Second
 )
 
 // Watcher reads the store in two loops.
+//
+// Lock order: Watcher.mu, then the lock of the board.
 type Watcher struct {
 	cfg      Config
-	entries  *roster
 	failures *metrics.Counter
+	reads    *metrics.Counter
+	// newer is signalled when another host has read more of the operator.
+	newer chan struct{}
+
+	mu        sync.Mutex
+	published mark
+	roster    *roster
+	entries   mark
+	print     uint64
+}
+
+// mark is the newest read of a topic.
+type mark struct {
+	known   bool
+	next    int64
+	started time.Duration
 }
 
 // New returns a watcher.
 func New(cfg Config) *Watcher {
-	return &Watcher{cfg: cfg, entries: newRoster(), failures: cfg.Metrics.NewCounter("cicada_store_read_failures_total")}
+	return &Watcher{
+		cfg:      cfg,
+		failures: cfg.Metrics.NewCounter("cicada_store_read_failures_total"),
+		reads:    cfg.Metrics.NewCounter("cicada_store_reads_total"),
+		newer:    make(chan struct{}, 1),
+		roster:   newRoster(),
+	}
+}
+
+// isDirect reports whether this host reads for itself.
+func (w *Watcher) isDirect(m mark) bool {
+	return !m.known || w.cfg.IsHub() || w.cfg.Clock.Boot()-m.started > w.cfg.DirectAfter
+}
+
+func (w *Watcher) publishedMark() mark {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.published
 }
 
 // RunPublished follows the operator until ctx ends.
 func (w *Watcher) RunPublished(ctx context.Context) {
-	from := feed.Newest
+	tick := w.cfg.Clock.Subscribe(lookInterval)
+	defer tick.Stop()
 	link := w.link("configuration")
-	for ctx.Err() == nil {
+	trimmed := false
+	for {
+		m := w.publishedMark()
+		wait := w.cfg.PublishedWait
+		if !w.isDirect(m) {
+			select {
+			case <-w.newer:
+				wait = 0
+			case <-tick.C():
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		from := m.next
+		if !m.known || trimmed {
+			from = feed.Newest
+		}
 		started := w.cfg.Clock.Boot()
-		p, err := w.cfg.Store.Published(ctx, from, w.cfg.PublishedWait)
+		w.reads.Inc()
+		p, err := w.cfg.Store.Published(ctx, from, wait)
+		if ctx.Err() != nil {
+			return
+		}
 		link.note(err)
+		trimmed = feed.IsErrTrimmed(err)
 		if err != nil {
-			from = w.after(ctx, from, err)
+			w.rest(ctx, err)
 			continue
 		}
-		from = p.Next
-		w.published(p)
-		w.cfg.Board.Verify(started)
+		w.take(p, started)
 	}
 }
 
-// after returns where to read on after a failure, once it has waited.
-func (w *Watcher) after(ctx context.Context, from int64, err error) int64 {
+// rest waits after a failure, unless the next read is another one.
+func (w *Watcher) rest(ctx context.Context, err error) {
 	if feed.IsErrTrimmed(err) {
-		return feed.Newest
+		return
 	}
 	w.failures.Inc()
-	if clock.Sleep(ctx, w.cfg.Clock, retryPause) != nil {
-		w.cfg.Logger.Debug("reading ends")
-	}
-	return from
+	// An error means that ctx has ended, which the caller sees as well.
+	_ = clock.Sleep(ctx, w.cfg.Clock, retryPause)
 }
 
-func (w *Watcher) published(p feed.Published) {
+func (w *Watcher) take(p feed.Published, started time.Duration) {
 	for _, fault := range p.Faults {
 		w.cfg.Logger.Warn("record of the operator can't be used", "error", fault)
 	}
@@ -108,23 +175,47 @@
 			w.cfg.Logger.Info("weights named", "model", model, "version", version, "next", p.Next)
 		}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.published = mark{known: true, next: p.Next, started: started}
+	w.cfg.Board.Verify(started)
+}
+
+// Published returns the offset after the newest record of the operator, and the
+// start of the read that showed it.
+func (w *Watcher) Published() (next int64, started time.Duration, ok bool) {
+	m := w.publishedMark()
+	return m.next, m.started, m.known
+}
+
+// HeardPublished takes a read of another host: if it showed nothing that this
+// host lacks, it proves the same of what this host has.
+func (w *Watcher) HeardPublished(next int64, started time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case !w.published.known || next > w.published.next:
+		select {
+		case w.newer <- struct{}{}:
+		default:
+		}
+	case next == w.published.next && started > w.published.started:
+		w.published.started = started
+		w.cfg.Board.Verify(started)
+	}
 }
 
 // RunEntries follows the endpoints' entries until ctx ends.
 func (w *Watcher) RunEntries(ctx context.Context) {
 	tick := w.cfg.Clock.Subscribe(w.cfg.EntriesInterval)
 	defer tick.Stop()
-	from := feed.Newest
 	link := w.link("endpoints")
 	for {
-		e, err := w.cfg.Store.Entries(ctx, from)
-		now := w.cfg.Clock.Boot()
-		link.note(err)
-		if err != nil {
-			from = w.after(ctx, from, err)
-		} else {
-			from = e.Next
-			w.take(e, now)
+		w.mu.Lock()
+		m := w.entries
+		w.mu.Unlock()
+		if w.isDirect(m) {
+			w.readEntries(ctx, m.next, link)
 		}
 		select {
 		case <-tick.C():
@@ -134,14 +225,71 @@
 	}
 }
 
-func (w *Watcher) take(e feed.Entries, now time.Duration) {
+func (w *Watcher) readEntries(ctx context.Context, from int64, link *link) {
+	if from == 0 {
+		from = feed.Newest
+	}
+	started := w.cfg.Clock.Boot()
+	w.reads.Inc()
+	e, err := w.cfg.Store.Entries(ctx, from)
+	if ctx.Err() != nil {
+		return
+	}
+	link.note(err)
+	if err == nil {
+		w.takeEntries(e, started)
+		return
+	}
+	w.mu.Lock()
+	if feed.IsErrTrimmed(err) {
+		w.entries.next = 0
+	}
+	w.mu.Unlock()
+	w.rest(ctx, err)
+}
+
+func (w *Watcher) takeEntries(e feed.Entries, started time.Duration) {
 	for _, fault := range e.Faults {
 		w.cfg.Logger.Warn("entry names no endpoint", "error", fault)
 	}
-	for _, c := range w.entries.take(e, now) {
-		w.cfg.Logger.Info("endpoint", "id", c.id, "change", c.what, "next", e.Next)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries = mark{known: true, next: e.Next, started: started}
+	w.changed(w.roster.take(e, w.cfg.Clock.Boot()), e.Next)
+}
+
+// changed passes the list on; the caller holds the lock.
+func (w *Watcher) changed(changes []change, next int64) {
+	for _, c := range changes {
+		w.cfg.Logger.Info("endpoint", "id", c.id, "change", c.what, "next", next)
+	}
+	if len(changes) > 0 || !w.cfg.Board.View().Listed {
+		list := w.roster.list()
+		w.print = sight.Fingerprint(list)
+		w.cfg.Board.SetEndpoints(list)
+	}
+}
+
+// Roster returns the endpoints with their fingerprint and the start of the read.
+func (w *Watcher) Roster() (list map[string]*site.Endpoint, fingerprint uint64, started time.Duration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cfg.Board.View().Endpoints, w.print, w.entries.started, w.entries.known
+}
+
+// HeardRoster takes the endpoints from another host; nil if they are those that
+// this host believes. A read that is no newer than this host's own is ignored.
+func (w *Watcher) HeardRoster(list map[string]*site.Endpoint, started time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.entries.known && started <= w.entries.started {
+		return
+	}
+	// Where this host would read on is not known any more.
+	w.entries = mark{known: true, started: started}
+	if list != nil {
+		w.changed(w.roster.replace(list, w.cfg.Clock.Boot()), 0)
 	}
-	w.cfg.Board.SetEndpoints(w.entries.list())
 }
 
 // link logs when a dependency is lost and regained.
--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
+	lop "github.com/samber/lo/parallel"
 
 	"cicadastand.dev/core/coord/lease"
 	"cicadastand.dev/core/coord/plan"
@@ -42,10 +44,13 @@
 
 // Config says what a Runner works with.
 type Config struct {
-	Clock   Timer
-	Host    string
-	Lease   time.Duration
-	Board   *sight.Board
+	Clock Timer
+	Host  string
+	Lease time.Duration
+	Board *sight.Board
+	// MayLead reports whether this host asks for the lease. A few in each failure
+	// domain are enough.
+	MayLead func() bool
 	Leases  Leases
 	Engines Engines
 	Loads   Loads
@@ -123,9 +128,7 @@
 	if len(next) > 0 && clock.Sleep(ctx, r.cfg.Clock, pauseNotice) != nil {
 		return
 	}
-	for _, o := range next {
-		r.order(ctx, o)
-	}
+	r.orders(ctx, next)
 }
 
 func (r *Runner) pause(ctx context.Context, engines map[string]bool) {
@@ -138,6 +141,9 @@
 
 // acquire asks for the lease once that can succeed.
 func (r *Runner) acquire(ctx context.Context, now time.Duration) bool {
+	if !r.cfg.MayLead() {
+		return false
+	}
 	if !r.lease.Known() {
 		r.read(ctx)
 		return false
@@ -178,49 +184,71 @@
 	r.cfg.Logger.Info("lease read", "holder", g.Holder, "end", g.End)
 }
 
-// check asks the engines that change whether they are done.
+// check asks the engines that change whether they are done, all at once.
 func (r *Runner) check(ctx context.Context) {
 	view := r.cfg.Board.View()
+	now := r.cfg.Clock.Boot()
+	var due []*site.Endpoint
 	for id := range r.plan.Changing() {
-		e := view.Endpoints[id]
-		now := r.cfg.Clock.Boot()
-		if e == nil || now-r.asked[id] < reportInterval {
-			continue
+		if e := view.Endpoints[id]; e != nil && now-r.asked[id] >= reportInterval {
+			r.asked[id] = now
+			due = append(due, e)
 		}
-		r.asked[id] = now
-		report, err := r.cfg.Engines.Report(ctx, e)
-		if err != nil {
-			r.cfg.Logger.Debug("no report", "endpoint", id, "error", err)
+	}
+	for _, a := range lop.Map(due, func(e *site.Endpoint, _ int) answer { return r.report(ctx, e) }) {
+		if a.err != nil {
+			r.cfg.Logger.Debug("no report", "endpoint", a.endpoint.ID, "error", a.err)
 			continue
 		}
-		r.plan.Reported(id, report, now)
+		r.plan.Reported(a.endpoint.ID, a.report, r.cfg.Clock.Boot())
 	}
 }
 
-// order gives one order, once the engine's count of orders is known. The lease is looked at last thing before it is sent.
-func (r *Runner) order(ctx context.Context, o plan.Step) {
-	if o.OrderCount == plan.Unknown {
-		report, err := r.cfg.Engines.Report(ctx, o.Endpoint)
-		if err != nil {
-			r.plan.Ordered(o, feed.Conflict, nil, r.cfg.Clock.Boot())
-			r.cfg.Logger.Warn("no report before order", "endpoint", o.Endpoint.ID, "error", err)
-			return
+// answer is what an engine said to a report or an order.
+type answer struct {
+	endpoint *site.Endpoint
+	report   feed.Report
+	step     plan.Step
+	verdict  feed.Verdict
+	err      error
+}
+
+func (r *Runner) report(ctx context.Context, e *site.Endpoint) answer {
+	report, err := r.cfg.Engines.Report(ctx, e)
+	return answer{endpoint: e, report: report, err: err}
+}
+
+// orders gives orders, all at once.
+func (r *Runner) orders(ctx context.Context, steps []plan.Step) {
+	for _, a := range lop.Map(steps, func(s plan.Step, _ int) answer { return r.order(ctx, s) }) {
+		s := a.step
+		r.plan.Ordered(s, a.verdict, a.err, r.cfg.Clock.Boot())
+		r.cfg.Logger.Info("order", "endpoint", s.Endpoint.ID, "model", s.Model, "have", s.Have, "version", s.Version,
+			"order-count", s.OrderCount, "fence", r.lease.Fence(), "verdict", a.verdict.String(), "error", a.err)
+	}
+}
+
+// order gives one order, once the engine's count of orders is known. The lease
+// is looked at last thing before it is sent.
+func (r *Runner) order(ctx context.Context, s plan.Step) answer {
+	if s.OrderCount == plan.Unknown {
+		a := r.report(ctx, s.Endpoint)
+		if a.err != nil {
+			return answer{step: s, err: a.err}
 		}
-		o.OrderCount = report.OrderCount
+		s.OrderCount = a.report.OrderCount
 	}
-	now := r.cfg.Clock.Boot()
-	if !r.lease.Holds(now) {
-		r.plan.Ordered(o, feed.Conflict, nil, now)
-		return
+	if !r.lease.Holds(r.cfg.Clock.Boot()) {
+		return answer{step: s, err: errLeaseOver}
 	}
-	r.asked[o.Endpoint.ID] = now
-	verdict, err := r.cfg.Engines.Send(ctx, o.Endpoint, feed.Order{
-		Model:      o.Model,
-		Version:    o.Version,
-		OrderCount: o.OrderCount,
+	verdict, err := r.cfg.Engines.Send(ctx, s.Endpoint, feed.Order{
+		Model:      s.Model,
+		Version:    s.Version,
+		OrderCount: s.OrderCount,
 		Holder:     r.cfg.Host,
 		Fence:      r.lease.Fence(),
 	})
-	r.plan.Ordered(o, verdict, err, r.cfg.Clock.Boot())
-	r.cfg.Logger.Info("order", "endpoint", o.Endpoint.ID, "model", o.Model, "version", o.Version, "order-count", o.OrderCount, "fence", r.lease.Fence(), "verdict", int(verdict), "error", err)
+	return answer{step: s, verdict: verdict, err: err}
 }
+
+var errLeaseOver = errors.New("lease is over")
