Call engines beside each other, and spread requests among few engines

Change: reports and orders run beside each other, the lease is renewed before its end, placement looks at three engines by rendezvous and at more while those are busy.

--- a/core/coord/lease/lease.go
+++ b/core/coord/lease/lease.go
@@ -17,6 +17,10 @@
 // what was sent has to arrive in time.
 const marginShare = 0.2
 
+// renewShare is the part of the lease before that in which the holder renews it:
+// room for two appends that get no answer.
+const renewShare = 0.4
+
 // Config says who competes for the lease, and for how long it is given.
 type Config struct {
 	Host     string
@@ -83,6 +87,15 @@
 // Holds reports whether this host may act at now.
 func (l *Lease) Holds(now time.Duration) bool { return now < l.until }
 
+// Until returns when this host stops acting.
+func (l *Lease) Until() time.Duration { return l.until }
+
+// ShouldRenew reports whether what is left of the lease is too short for work
+// that goes on.
+func (l *Lease) ShouldRenew(now time.Duration) bool {
+	return l.Holds(now) && l.until-now < time.Duration(renewShare*float64(l.cfg.Duration))
+}
+
 // Wait returns how long this host has to wait before it may ask for the lease.
 // The host that had it last need not wait.
 func (l *Lease) Wait(now time.Duration) time.Duration {
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -7,6 +7,9 @@
 package place
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,7 +23,11 @@
 	// takes memory in a second place.
 	readWeight = 3
 	// oldWeightsCost keeps requests away from engines whose weights were replaced.
-	oldWeightsCost = 60 * time.Millisecond
+	oldWeightsCost = 25 * time.Millisecond
+	// firstLook is how many engines by rendezvous are looked at at first, and then
+	// at a time while all of them are busy for busyWait.
+	firstLook = 3
+	busyWait  = 100 * time.Millisecond
 	// runningCost is how much a running request slows the reading of prompts.
 	runningCost = 200 * time.Microsecond
 	// overfullCost is the wait for one slot when all are taken.
@@ -66,34 +73,57 @@
 }
 
 // Choose returns the engine with the least cost. There is at least one engine.
-// While no engine is known to hold the shared part, its owner by rendezvous
-// counts as the holder, so that all hosts read it at one place.
+//
+// Only some engines are looked at: those that hold the shared part, and the
+// first by rendezvous hashing, more of them while all of those are busy. Hosts
+// know of each other's sends some hundred milliseconds late; if all looked at all
+// engines, each would send to the one that seems idle.
 func Choose(p Prompt, engines []Engine) Choice {
-	owner := -1
-	if p.Key != "" {
-		owner = Owner(p.Key, engines)
-	}
+	ranked := rank(p.Key, engines)
+	owner := ranked[0]
 	held := 0
 	for _, e := range engines {
 		held = max(held, e.Held)
 	}
-	best, least := 0, time.Duration(0)
-	for i, e := range engines {
-		missed := p.Shared - e.Held
-		if i == owner && held < p.Shared {
-			missed = 0
+	best, least, seen := owner, time.Duration(math.MaxInt64), 0
+	for at, i := range ranked {
+		e := engines[i]
+		if seen >= firstLook && at%firstLook == 0 && wait(engines[best]) < busyWait {
+			break
 		}
-		cost := FirstToken(p, e) + readTime(float64((readWeight-1)*missed), e)
-		if e.Old {
-			cost += oldWeightsCost
+		seen++
+		if cost := p.cost(e, i == owner && held < p.Shared); cost < least {
+			best, least = i, cost
+		}
+	}
+	for i, e := range engines {
+		if e.Held == 0 || e.Held < held {
+			continue
 		}
-		if i == 0 || cost < least {
+		if cost := p.cost(e, false); cost < least {
 			best, least = i, cost
 		}
 	}
 	return Choice{Index: best, FirstToken: FirstToken(p, engines[best]), Home: best == owner}
 }
 
+// cost is the time to the first token, and what a second reading of the shared
+// part costs others. The owner counts as the holder while nobody is known to be.
+func (p Prompt) cost(e Engine, isHolder bool) time.Duration {
+	missed := p.Shared - e.Held
+	if isHolder {
+		missed = 0
+	}
+	cost := FirstToken(p, e) + readTime(float64((readWeight-1)*missed), e)
+	if e.Old {
+		cost += oldWeightsCost
+	}
+	return cost
+}
+
+// wait is the time until the engine begins with a new prompt.
+func wait(e Engine) time.Duration { return FirstToken(Prompt{}, e) }
+
 func readTime(tokens float64, e Engine) time.Duration {
 	return time.Duration(tokens / e.Rate * float64(time.Second))
 }
@@ -111,21 +141,21 @@
 	return cost
 }
 
-// Owner returns the index of the engine that rendezvous hashing gives a key. All
-// hosts agree on it without exchanging anything.
-func Owner(key string, engines []Engine) int {
-	best, at := uint64(0), 0
+// rank returns the indices of the engines in the order that rendezvous hashing
+// gives them for a key. All hosts agree on it without exchanging anything.
+func rank(key string, engines []Engine) []int {
+	scores := make([]uint64, len(engines))
+	order := make([]int, len(engines))
 	for i, e := range engines {
 		var d xxhash.Digest
 		d.Reset()
 		// Writes to a digest can't fail.
 		_, _ = d.WriteString(key)
 		_, _ = d.WriteString(e.ID)
-		if s := d.Sum64(); i == 0 || s > best {
-			best, at = s, i
-		}
+		scores[i], order[i] = d.Sum64(), i
 	}
-	return at
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	return order
 }
 
 // LeastLoaded returns the index of the engine with the fewest requests for its
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -187,6 +187,10 @@
 		prompt.Tokens = prompt.Shared + j.ask.Parts[n-1].Tokens
 	}
 	prompt.Tokens = max(prompt.Tokens, prompt.Shared)
+	if prompt.Key == "" {
+		// Nothing is shared: the request is spread by its own id.
+		prompt.Key = j.ask.ID
+	}
 	engines := make([]place.Engine, len(list))
 	for i, e := range list {
 		engines[i] = place.Engine{
--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -9,7 +9,6 @@
 
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
-	lop "github.com/samber/lo/parallel"
 
 	"cicadastand.dev/core/coord/lease"
 	"cicadastand.dev/core/coord/plan"
@@ -67,9 +66,8 @@
 	yieldTime = 300 * time.Millisecond
 	// reportInterval is the time between reports of an engine that changes.
 	reportInterval = 250 * time.Millisecond
-	// pauseNotice is the time in which peers stop sending to an engine before it
-	// gets its order.
-	pauseNotice = 20 * time.Millisecond
+	// maxTasks bounds the calls to engines that are on their way.
+	maxTasks = 64
 )
 
 // Runner gives orders while this host holds the lease.
@@ -80,16 +78,21 @@
 	noted  time.Duration
 	asked  map[string]time.Duration
 	paused map[string]bool
+	// running counts the tasks on their way; done has room for all of them.
+	running chan struct{}
+	done    chan *task
 }
 
 // New returns a runner.
 func New(cfg Config) *Runner {
 	return &Runner{
-		cfg:    cfg,
-		lease:  lease.New(lease.Config{Host: cfg.Host, Duration: cfg.Lease}),
-		plan:   plan.New(),
-		asked:  make(map[string]time.Duration),
-		paused: make(map[string]bool),
+		cfg:     cfg,
+		lease:   lease.New(lease.Config{Host: cfg.Host, Duration: cfg.Lease}),
+		plan:    plan.New(),
+		asked:   make(map[string]time.Duration),
+		paused:  make(map[string]bool),
+		running: make(chan struct{}, maxTasks),
+		done:    make(chan *task, maxTasks),
 	}
 }
 
@@ -119,16 +122,21 @@
 	if r.noted == 0 {
 		r.noted = now
 	}
+	r.collect()
 	if !r.lease.Holds(now) && !r.acquire(ctx, now) {
 		return
 	}
+	if r.lease.ShouldRenew(now) {
+		r.acquire(ctx, now)
+	}
 	r.check(ctx)
 	next := r.plan.Next(r.cfg.Board.View(), r.cfg.Loads(), r.cfg.Clock.Boot())
 	r.pause(ctx, r.plan.Changing())
-	if len(next) > 0 && clock.Sleep(ctx, r.cfg.Clock, pauseNotice) != nil {
-		return
+	until := r.lease.Until()
+	for _, s := range next {
+		c := &task{r: r, endpoint: s.Endpoint, step: &s, until: until, fence: r.lease.Fence()}
+		r.start(ctx, c)
 	}
-	r.orders(ctx, next)
 }
 
 func (r *Runner) pause(ctx context.Context, engines map[string]bool) {
@@ -184,71 +192,101 @@
 	r.cfg.Logger.Info("lease read", "holder", g.Holder, "end", g.End)
 }
 
-// check asks the engines that change whether they are done, all at once.
+// check asks the engines that change whether they are done.
 func (r *Runner) check(ctx context.Context) {
 	view := r.cfg.Board.View()
 	now := r.cfg.Clock.Boot()
-	var due []*site.Endpoint
 	for id := range r.plan.Changing() {
 		if e := view.Endpoints[id]; e != nil && now-r.asked[id] >= reportInterval {
 			r.asked[id] = now
-			due = append(due, e)
+			r.start(ctx, &task{r: r, endpoint: e})
 		}
 	}
-	for _, a := range lop.Map(due, func(e *site.Endpoint, _ int) answer { return r.report(ctx, e) }) {
-		if a.err != nil {
-			r.cfg.Logger.Debug("no report", "endpoint", a.endpoint.ID, "error", a.err)
-			continue
+}
+
+// start runs a task beside the others, unless too many are on their way.
+func (r *Runner) start(ctx context.Context, t *task) {
+	select {
+	case r.running <- struct{}{}:
+		r.asked[t.endpoint.ID] = r.cfg.Clock.Boot()
+		go t.run(ctx)
+	default:
+		if t.step != nil {
+			r.plan.Ordered(*t.step, feed.Conflict, nil, r.cfg.Clock.Boot())
 		}
-		r.plan.Reported(a.endpoint.ID, a.report, r.cfg.Clock.Boot())
 	}
 }
 
-// answer is what an engine said to a report or an order.
-type answer struct {
-	endpoint *site.Endpoint
-	report   feed.Report
-	step     plan.Step
-	verdict  feed.Verdict
-	err      error
+// collect takes what tasks have brought.
+func (r *Runner) collect() {
+	for {
+		select {
+		case t := <-r.done:
+			<-r.running
+			r.take(t)
+		default:
+			return
+		}
+	}
 }
 
-func (r *Runner) report(ctx context.Context, e *site.Endpoint) answer {
-	report, err := r.cfg.Engines.Report(ctx, e)
-	return answer{endpoint: e, report: report, err: err}
+func (r *Runner) take(t *task) {
+	now := r.cfg.Clock.Boot()
+	if t.step == nil {
+		if t.err != nil {
+			r.cfg.Logger.Debug("no report", "endpoint", t.endpoint.ID, "error", t.err)
+			return
+		}
+		r.plan.Reported(t.endpoint.ID, t.report, now)
+		return
+	}
+	r.plan.Ordered(*t.step, t.verdict, t.err, now)
+	r.cfg.Logger.Info("order", "endpoint", t.endpoint.ID, "model", t.step.Model, "have", t.step.Have, "version", t.step.Version,
+		"order-count", t.step.OrderCount, "fence", t.fence, "verdict", t.verdict.String(), "error", t.err)
 }
 
-// orders gives orders, all at once.
-func (r *Runner) orders(ctx context.Context, steps []plan.Step) {
-	for _, a := range lop.Map(steps, func(s plan.Step, _ int) answer { return r.order(ctx, s) }) {
-		s := a.step
-		r.plan.Ordered(s, a.verdict, a.err, r.cfg.Clock.Boot())
-		r.cfg.Logger.Info("order", "endpoint", s.Endpoint.ID, "model", s.Model, "have", s.Have, "version", s.Version,
-			"order-count", s.OrderCount, "fence", r.lease.Fence(), "verdict", a.verdict.String(), "error", a.err)
-	}
+// task is a report or an order on its way to one engine.
+type task struct {
+	r        *Runner
+	endpoint *site.Endpoint
+	// step is the order to give; nil for a report.
+	step *plan.Step
+	// until is when the lease ends whose fencing token is fence.
+	until time.Duration
+	fence int64
+
+	report  feed.Report
+	verdict feed.Verdict
+	err     error
+}
+
+func (t *task) run(ctx context.Context) {
+	t.do(ctx)
+	t.r.done <- t
 }
 
-// order gives one order, once the engine's count of orders is known. The lease
-// is looked at last thing before it is sent.
-func (r *Runner) order(ctx context.Context, s plan.Step) answer {
-	if s.OrderCount == plan.Unknown {
-		a := r.report(ctx, s.Endpoint)
-		if a.err != nil {
-			return answer{step: s, err: a.err}
+// do gives the order, once the engine's count of orders is known. The lease is
+// looked at last thing before it is sent.
+func (t *task) do(ctx context.Context) {
+	engines := t.r.cfg.Engines
+	if t.step == nil || t.step.OrderCount == plan.Unknown {
+		t.report, t.err = engines.Report(ctx, t.endpoint)
+		if t.err != nil || t.step == nil {
+			return
 		}
-		s.OrderCount = a.report.OrderCount
+		t.step.OrderCount = t.report.OrderCount
 	}
-	if !r.lease.Holds(r.cfg.Clock.Boot()) {
-		return answer{step: s, err: errLeaseOver}
+	if t.r.cfg.Clock.Boot() >= t.until {
+		t.err = errLeaseOver
+		return
 	}
-	verdict, err := r.cfg.Engines.Send(ctx, s.Endpoint, feed.Order{
-		Model:      s.Model,
-		Version:    s.Version,
-		OrderCount: s.OrderCount,
-		Holder:     r.cfg.Host,
-		Fence:      r.lease.Fence(),
+	t.verdict, t.err = engines.Send(ctx, t.endpoint, feed.Order{
+		Model:      t.step.Model,
+		Version:    t.step.Version,
+		OrderCount: t.step.OrderCount,
+		Holder:     t.r.cfg.Host,
+		Fence:      t.fence,
 	})
-	return answer{step: s, verdict: verdict, err: err}
 }
 
 var errLeaseOver = errors.New("lease is over")
