--- a/core/coord/hubs/hubs.go
+++ b/core/coord/hubs/hubs.go
@@ -58,6 +58,22 @@
 	return true
 }
 
+// meshSize is the number of hosts up to which each tells all others: it then
+// costs less than the delay through a hub.
+const meshSize = 12
+
+// IsMesh reports whether the system is small enough for each host to tell all others.
+func (t *Table) IsMesh() bool { return t.Len() <= meshSize }
+
+// All returns all other hosts that answer.
+func (t *Table) All(now time.Duration) []feed.Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lo.Filter(lo.Values(t.hosts), func(h feed.Host, _ int) bool {
+		return h.Name != t.cfg.Self.Name && now >= t.until[h.Name]
+	})
+}
+
 // Len returns the number of hosts that are known.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -24,10 +24,8 @@
 	readWeight = 3
 	// oldWeightsCost keeps requests away from engines whose weights were replaced.
 	oldWeightsCost = 25 * time.Millisecond
-	// firstLook is how many engines by rendezvous are looked at at first, and then
-	// at a time while all of them are busy for busyWait.
-	firstLook = 3
-	busyWait  = 100 * time.Millisecond
+	// busyWait is the wait at which more engines are looked at.
+	busyWait = 100 * time.Millisecond
 	// runningCost is how much a running request slows the reading of prompts.
 	runningCost = 200 * time.Microsecond
 	// overfullCost is the wait for one slot when all are taken.
@@ -75,10 +73,10 @@
 // Choose returns the engine with the least cost. There is at least one engine.
 //
 // Only some engines are looked at: those that hold the shared part, and the
-// first by rendezvous hashing, more of them while all of those are busy. Hosts
-// know of each other's sends some hundred milliseconds late; if all looked at all
-// engines, each would send to the one that seems idle.
-func Choose(p Prompt, engines []Engine) Choice {
+// first by rendezvous hashing, look at a time while all of those are busy. Hosts
+// know of each other's sends some hundred milliseconds late; if many hosts looked
+// at all engines, each would send to the one that seems idle.
+func Choose(p Prompt, engines []Engine, look int) Choice {
 	ranked := rank(p.Key, engines)
 	owner := ranked[0]
 	held := 0
@@ -88,7 +86,7 @@
 	best, least, seen := owner, time.Duration(math.MaxInt64), 0
 	for at, i := range ranked {
 		e := engines[i]
-		if seen >= firstLook && at%firstLook == 0 && wait(engines[best]) < busyWait {
+		if seen >= look && at%look == 0 && wait(engines[best]) < busyWait {
 			break
 		}
 		seen++
--- a/core/coord/plan/plan.go
+++ b/core/coord/plan/plan.go
@@ -22,20 +22,25 @@
 	// more of them slow each other down.
 	engineShare = 0.2
 	// initialLoad is the time to load weights that is assumed before one was seen.
-	initialLoad = 500 * time.Millisecond
+	initialLoad = 600 * time.Millisecond
 	// minLoad and reportLag correct what is seen of a load: a report is that old.
-	minLoad   = 150 * time.Millisecond
-	reportLag = 250 * time.Millisecond
+	minLoad   = 200 * time.Millisecond
+	reportLag = 200 * time.Millisecond
 	// lostAfter is when an order without effect is taken as lost. Running requests
 	// may hold an order up for some seconds.
 	lostAfter = 6 * time.Second
 	// unansweredAfter is when an order that got no answer is given again, with the
 	// same condition, so that only one of them can take effect.
-	unansweredAfter = 700 * time.Millisecond
+	unansweredAfter = 1200 * time.Millisecond
 	// reportTrust is how long a report goes before the list, which comes later.
 	reportTrust = 5 * time.Second
 )
 
+// Notice is the time between the choice of an engine and its order: hosts stop
+// sending to it, and what waits there begins, since an order turns away what
+// has not begun.
+const Notice = 120 * time.Millisecond
+
 // Step is one order to give.
 type Step struct {
 	Endpoint *site.Endpoint
@@ -147,7 +152,7 @@
 	})
 	busy := make(map[string]int)
 	for _, pr := range p.changing {
-		if now-pr.since < p.load {
+		if pr.answered && now-pr.since < p.load-Notice {
 			busy[pr.step.Endpoint.Service]++
 		}
 	}
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -61,10 +61,13 @@
 	keyMargin = 500 * time.Millisecond
 	// publishedWait is a read of the configuration: two of them and the way through
 	// a hub stay below directAfter.
-	publishedWait = time.Second
+	publishedWait = 600 * time.Millisecond
 	// directAfter is the age of the newest read at which a host reads for itself:
-	// early enough that the proof of a key can be renewed before it ends.
-	directAfter = 2700 * time.Millisecond
+	// early enough to see a new configuration in time if its hub is turned away.
+	directAfter = 1500 * time.Millisecond
+	// lookMesh and lookHubs are how many engines are looked at for a placement.
+	lookMesh = 16
+	lookHubs = 3
 	// hubRetry is when a hub that did not answer is tried again.
 	hubRetry = 2 * time.Second
 	// entriesInterval keeps an endpoint's leaving known well within its drain time.
@@ -104,6 +107,7 @@
 	cfg      Config
 	settings local.Settings
 	board    *sight.Board
+	hubs     *hubs.Table
 	loads    *load.Table
 	kept     *kept.Index
 	shun     *shun.Table
@@ -160,6 +164,7 @@
 		Shun:          h.shun,
 		Budget:        repeats,
 		Poison:        suspects,
+		Look:          h.look,
 		FailureDomain: s.FailureDomain,
 		OldWeights:    s.Bounds.Weights,
 		KeyFreshness:  s.Bounds.Revoke - keyMargin,
@@ -168,7 +173,7 @@
 		Metrics:       h.metrics,
 	})
 	self := feed.Host{Name: s.Host, FailureDomain: s.FailureDomain, Address: netip.AddrPortFrom(s.Address, s.FirstPort).String()}
-	table := hubs.New(hubs.Config{Self: self, RetryAfter: hubRetry})
+	h.hubs = hubs.New(hubs.Config{Self: self, RetryAfter: hubRetry})
 	h.watch = watch.New(watch.Config{
 		Clock:           cfg.Clock,
 		Store:           cfg.Platform.Source,
@@ -183,7 +188,7 @@
 	h.share = share.New(share.Config{
 		Clock:    cfg.Clock,
 		Self:     self,
-		Hubs:     table,
+		Hubs:     h.hubs,
 		Reads:    h.watch,
 		Loads:    h.loads,
 		Poison:   suspects,
@@ -198,7 +203,7 @@
 		Clock:      cfg.Clock,
 		Self:       self,
 		Registry:   cfg.Platform.Source,
-		Hubs:       table,
+		Hubs:       h.hubs,
 		Registered: repeats.SetHosts,
 		Logger:     cfg.Logger,
 	})
@@ -217,6 +222,15 @@
 	return h
 }
 
+// look returns how many engines are looked at for a placement: few where hosts
+// learn of each other's sends through hubs.
+func (h *Host) look() int {
+	if h.hubs.IsMesh() {
+		return lookMesh
+	}
+	return lookHubs
+}
+
 // isHub reports whether this host reads the store for its failure domain.
 func (h *Host) isHub() bool { return h.share.IsHub() }
 
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -203,7 +203,7 @@
 			Remote: e.FailureDomain != j.r.cfg.FailureDomain,
 		}
 	}
-	c := place.Choose(prompt, engines)
+	c := place.Choose(prompt, engines, j.r.cfg.Look())
 	e := engines[c.Index]
 	return choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), expect: c.FirstToken, idle: e.Work.Waiting == 0, home: c.Home}
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -51,6 +51,8 @@
 	News   *kept.News
 	Budget *budget.Book
 	Poison *poison.Table
+	// Look is how many engines are looked at for a placement.
+	Look func() int
 	// FailureDomain is the host's own.
 	FailureDomain string
 	// OldWeights is how long requests may begin on weights that were replaced.
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -96,6 +96,7 @@
 
 // word is what a host said of changing endpoints.
 type word struct {
+	scope     load.Scope
 	endpoints []string
 	at        time.Duration
 }
@@ -190,26 +191,27 @@
 
 // review passes on which endpoints change weights by anyone's word.
 func (s *Service) review() {
-	s.cfg.Changing(lo.SliceToMap(s.changes(""), func(id string) (string, bool) { return id, true }))
+	s.cfg.Changing(lo.SliceToMap(s.changes(func(string, word) bool { return true }), func(id string) (string, bool) { return id, true }))
 }
 
-// changes returns the endpoints that change weights by the word of anyone but one.
-func (s *Service) changes(except string) []string {
+// changes returns the endpoints that change weights by this host's word and the
+// words that count.
+func (s *Service) changes(counts func(name string, w word) bool) []string {
 	now := s.cfg.Clock.Boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := append([]string{}, s.own...)
 	for name, w := range s.changing {
-		if now-w.at <= wordTrust && name != except {
+		if now-w.at <= wordTrust && counts(name, w) {
 			out = append(out, w.endpoints...)
 		}
 	}
 	return lo.Uniq(out)
 }
 
-func (s *Service) heardChanges(name string, endpoints []string) {
+func (s *Service) heardChanges(name string, scope load.Scope, endpoints []string) {
 	s.mu.Lock()
-	s.changing[name] = word{endpoints: endpoints, at: s.cfg.Clock.Boot()}
+	s.changing[name] = word{scope: scope, endpoints: endpoints, at: s.cfg.Clock.Boot()}
 	s.mu.Unlock()
 }
 
@@ -218,18 +220,26 @@
 	now := s.cfg.Clock.Boot()
 	own := s.cfg.Hubs.Own(now)
 	if own.Name != s.cfg.Self.Name {
-		s.send(ctx, own, false)
+		s.send(ctx, own, s.status(own.Name))
 	}
-	if !s.IsHub() {
-		return
-	}
-	for _, h := range s.cfg.Hubs.Others(now) {
-		s.send(ctx, h, true)
+	switch {
+	case s.cfg.Hubs.IsMesh():
+		for _, h := range s.cfg.Hubs.All(now) {
+			if h.Name != own.Name {
+				status := s.status(h.Name)
+				status.Direct = true
+				s.send(ctx, h, status)
+			}
+		}
+	case s.IsHub():
+		for _, h := range s.cfg.Hubs.Others(now) {
+			s.send(ctx, h, s.domainStatus(h.Name))
+		}
 	}
 }
 
 // send starts one message unless the last one to that host is still on its way.
-func (s *Service) send(ctx context.Context, to feed.Host, forDomain bool) {
+func (s *Service) send(ctx context.Context, to feed.Host, status *loadpb.Status) {
 	client, done, err := s.peers.begin(to)
 	if err != nil {
 		s.cfg.Logger.Warn("peer can't be used", "peer", to.Name, "error", err)
@@ -238,7 +248,7 @@
 	if client == nil {
 		return
 	}
-	m := &message{s: s, to: to, client: client, done: done, status: s.status(to.Name, forDomain)}
+	m := &message{s: s, to: to, client: client, done: done, status: status}
 	go m.run(ctx)
 }
 
@@ -265,7 +275,7 @@
 		return
 	}
 	s.cfg.Hubs.Answered(m.to.Name)
-	if !m.status.GetForDomain() {
+	if !m.status.GetForDomain() && !m.status.GetDirect() {
 		s.heard(m.to.Name, heard, sent)
 	}
 }
@@ -273,10 +283,12 @@
 // heard takes the answer of this host's hub to a message sent at sent.
 func (s *Service) heard(hub string, in *loadpb.Heard, sent time.Duration) {
 	now := s.cfg.Clock.Boot()
-	if !s.IsHub() {
-		s.cfg.Loads.Told(hub, load.Rest, workFrom(in.GetWork()), now)
+	if !s.cfg.Hubs.IsMesh() {
+		if !s.IsHub() {
+			s.cfg.Loads.Told(hub, load.Rest, workFrom(in.GetWork()), now)
+		}
+		s.heardChanges("rest", load.Rest, in.GetChanging())
 	}
-	s.heardChanges(hub, in.GetChanging())
 	s.takeSuspects(in.GetSuspects())
 	for _, p := range in.GetPlacements() {
 		s.cfg.Kept.Add(placementFrom(p))
@@ -300,7 +312,7 @@
 	scope := load.Member
 	if in.GetForDomain() {
 		scope, name = load.Domain, "domain "+in.GetDomain()
-	} else {
+	} else if !in.GetDirect() {
 		s.mu.Lock()
 		s.asked = now
 		s.mu.Unlock()
@@ -311,13 +323,15 @@
 		s.cfg.Loads.Told(name, scope, workFrom(in.GetWork()), now)
 	}
 	s.takeSuspects(in.GetSuspects())
-	s.heardChanges(name, in.GetChanging())
+	s.heardChanges(name, scope, in.GetChanging())
 	for _, m := range in.GetPlacements() {
 		p := placementFrom(m)
 		s.cfg.Kept.Add(p)
-		s.pass(p, in)
+		if !s.cfg.Hubs.IsMesh() {
+			s.pass(p, in)
+		}
 	}
-	if in.GetForDomain() {
+	if in.GetForDomain() || in.GetDirect() {
 		return &loadpb.Heard{}, nil
 	}
 	return s.answer(in, now), nil
@@ -335,7 +349,7 @@
 func (s *Service) answer(in *loadpb.Status, now time.Duration) *loadpb.Heard {
 	out := &loadpb.Heard{
 		Work:       workMessage(s.cfg.Loads.Without(in.GetHost(), now)),
-		Changing:   s.changes(in.GetHost()),
+		Changing:   s.changes(func(name string, w word) bool { return w.scope != load.Rest && name != in.GetHost() }),
 		Suspects:   s.suspects(),
 		Placements: lo.Map(s.cfg.News.Take(in.GetHost(), now), placementMessage),
 	}
@@ -356,32 +370,38 @@
 	return &loadpb.Mark{Known: true, Next: next, AgeMs: uint32(max(0, age.Milliseconds()+1))}
 }
 
-// status is this host's word, or its domain's.
-func (s *Service) status(to string, forDomain bool) *loadpb.Status {
-	now := s.cfg.Clock.Boot()
-	s.mu.Lock()
-	leaving := s.leaving
-	s.mu.Unlock()
-	out := &loadpb.Status{
-		Host:      s.cfg.Self.Name,
-		Domain:    s.cfg.Self.FailureDomain,
-		ForDomain: forDomain,
-		Leaving:   leaving,
-		Suspects:  s.suspects(),
-	}
-	if forDomain {
-		out.Work = workMessage(s.cfg.Loads.OfDomain(now))
-		out.Changing = s.changes("")
-		out.Placements = lo.Map(s.cfg.News.Take(hubReader+to, now), placementMessage)
-		return out
-	}
+// status is this host's word for one peer.
+func (s *Service) status(to string) *loadpb.Status {
+	out := s.header(to)
 	out.Work = workMessage(s.cfg.Loads.Own())
 	s.mu.Lock()
 	out.Changing = s.own
 	s.mu.Unlock()
-	out.Placements = lo.Map(s.cfg.News.Take(hubReader+to, now), placementMessage)
 	if _, fingerprint, _, ok := s.cfg.Reads.Roster(); ok {
 		out.Roster = fingerprint
 	}
 	return out
 }
+
+// domainStatus is the word of this host's domain for another hub.
+func (s *Service) domainStatus(to string) *loadpb.Status {
+	out := s.header(to)
+	out.ForDomain = true
+	out.Work = workMessage(s.cfg.Loads.OfDomain(s.cfg.Clock.Boot()))
+	// Only what this domain said itself: two hubs would tell each other the rest forever.
+	out.Changing = s.changes(func(_ string, w word) bool { return w.scope == load.Member })
+	return out
+}
+
+func (s *Service) header(to string) *loadpb.Status {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	return &loadpb.Status{
+		Host:       s.cfg.Self.Name,
+		Domain:     s.cfg.Self.FailureDomain,
+		Leaving:    leaving,
+		Suspects:   s.suspects(),
+		Placements: lo.Map(s.cfg.News.Take(hubReader+to, s.cfg.Clock.Boot()), placementMessage),
+	}
+}
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -90,6 +90,9 @@
 	known   bool
 	next    int64
 	started time.Duration
+	// lost is set if the last read of this host failed: what it has says nothing of
+	// what is newest any more.
+	lost bool
 }
 
 // New returns a watcher.
@@ -105,7 +108,7 @@
 
 // isDirect reports whether this host reads for itself.
 func (w *Watcher) isDirect(m mark) bool {
-	return !m.known || w.cfg.IsHub() || w.cfg.Clock.Boot()-m.started > w.cfg.DirectAfter
+	return !m.known || m.lost || w.cfg.IsHub() || w.cfg.Clock.Boot()-m.started > w.cfg.DirectAfter
 }
 
 func (w *Watcher) publishedMark() mark {
@@ -146,6 +149,9 @@
 		link.note(err)
 		trimmed = feed.IsErrTrimmed(err)
 		if err != nil {
+			w.mu.Lock()
+			w.published.lost = true
+			w.mu.Unlock()
 			w.rest(ctx, err)
 			continue
 		}
@@ -185,7 +191,7 @@
 // start of the read that showed it.
 func (w *Watcher) Published() (next int64, started time.Duration, ok bool) {
 	m := w.publishedMark()
-	return m.next, m.started, m.known
+	return m.next, m.started, m.known && !m.lost
 }
 
 // HeardPublished takes a read of another host: if it showed nothing that this
@@ -200,7 +206,7 @@
 		default:
 		}
 	case next == w.published.next && started > w.published.started:
-		w.published.started = started
+		w.published.started, w.published.lost = started, false
 		w.cfg.Board.Verify(started)
 	}
 }
@@ -241,6 +247,7 @@
 		return
 	}
 	w.mu.Lock()
+	w.entries.lost = true
 	if feed.IsErrTrimmed(err) {
 		w.entries.next = 0
 	}
@@ -274,7 +281,7 @@
 func (w *Watcher) Roster() (list map[string]*site.Endpoint, fingerprint uint64, started time.Duration, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.cfg.Board.View().Endpoints, w.print, w.entries.started, w.entries.known
+	return w.cfg.Board.View().Endpoints, w.print, w.entries.started, w.entries.known && !w.entries.lost
 }
 
 // HeardRoster takes the endpoints from another host; nil if they are those that
--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -65,7 +65,7 @@
 	// last, which need not wait for it.
 	yieldTime = 300 * time.Millisecond
 	// reportInterval is the time between reports of an engine that changes.
-	reportInterval = 250 * time.Millisecond
+	reportInterval = 100 * time.Millisecond
 	// maxTasks bounds the calls to engines that are on their way.
 	maxTasks = 64
 )
@@ -156,7 +156,7 @@
 		r.read(ctx)
 		return false
 	}
-	if r.lease.Wait(now) > 0 || !r.lease.WasLast() && now-r.noted < yieldTime {
+	if r.lease.Wait(now) > 0 || !r.lease.WasLast() && r.lease.End() > 0 && now-r.noted < yieldTime {
 		return false
 	}
 	nonce := uuid.NewString()
@@ -261,7 +261,9 @@
 }
 
 func (t *task) run(ctx context.Context) {
-	t.do(ctx)
+	if t.step == nil || clock.Sleep(ctx, t.r.cfg.Clock, plan.Notice) == nil {
+		t.do(ctx)
+	}
 	t.r.done <- t
 }
 
