Plan the pauses of engines as spans of time

Cause: hosts heard that an engine loads weights 200 to 400 ms late, and that it had loaded as late again, so that the wrong engines rested: with prompt words on it half of a grown site's engines stood idle. Change: the holder plans the pause before the order and tells from when to when; each host keeps it by its own clock, and the first word stands.

--- a/core/coord/plan/plan.go
+++ b/core/coord/plan/plan.go
@@ -22,9 +22,9 @@
 	// more of them slow each other down.
 	engineShare = 0.2
 	// initialLoad is the time to load weights that is assumed before one was seen.
-	initialLoad = 600 * time.Millisecond
+	initialLoad = 400 * time.Millisecond
 	// minLoad and reportLag correct what is seen of a load: a report is that old.
-	minLoad   = 200 * time.Millisecond
+	minLoad   = 150 * time.Millisecond
 	reportLag = 200 * time.Millisecond
 	// lostAfter is when an order without effect is taken as lost. Running requests
 	// may hold an order up for some seconds.
@@ -36,11 +36,6 @@
 	reportTrust = 5 * time.Second
 )
 
-// Notice is the time between the choice of an engine and its order: hosts stop
-// sending to it, and what waits there begins, since an order turns away what
-// has not begun.
-const Notice = 120 * time.Millisecond
-
 // Step is one order to give.
 type Step struct {
 	Endpoint *site.Endpoint
@@ -51,6 +46,10 @@
 	// OrderCount is the number of orders that the engine has accepted; Unknown if
 	// it has to be asked first.
 	OrderCount int64
+	// At is when to give the order, and Load how long the engine is expected to
+	// take.
+	At   time.Duration
+	Load time.Duration
 }
 
 // Unknown is the order count of an engine that was not asked yet.
@@ -70,7 +69,6 @@
 
 type progress struct {
 	step     Step
-	since    time.Duration
 	answered bool
 }
 
@@ -135,15 +133,16 @@
 }
 
 // Next returns the orders to give now: those with the oldest weights first, and
-// the least loaded of them.
-func (p *Plan) Next(v *sight.View, load map[string]int, now time.Duration) []Step {
+// the least loaded of them. Each is due after notice, when the loads before it
+// are expected to have ended.
+func (p *Plan) Next(v *sight.View, load map[string]int, now, notice time.Duration) []Step {
 	behind := p.Behind(v, now)
 	late := make(map[string]bool, len(behind))
 	for _, s := range behind {
 		late[s.Endpoint.ID] = true
 	}
 	for id, pr := range p.changing {
-		if !late[id] || now-pr.since > lostAfter || !pr.answered && now-pr.since > unansweredAfter {
+		if !late[id] || now-pr.step.At > lostAfter || !pr.answered && now-pr.step.At > unansweredAfter {
 			delete(p.changing, id)
 		}
 	}
@@ -152,7 +151,7 @@
 	})
 	busy := make(map[string]int)
 	for _, pr := range p.changing {
-		if pr.answered && now-pr.since < p.load-Notice {
+		if pr.answered && now+notice < pr.step.At+p.load {
 			busy[pr.step.Endpoint.Service]++
 		}
 	}
@@ -164,7 +163,8 @@
 			continue
 		}
 		busy[service]++
-		p.changing[s.Endpoint.ID] = progress{step: s, since: now, answered: true}
+		s.At, s.Load = now+notice, p.load
+		p.changing[s.Endpoint.ID] = progress{step: s, answered: true}
 		out = append(out, s)
 	}
 	return out
@@ -175,7 +175,8 @@
 	id := s.Endpoint.ID
 	switch {
 	case err != nil || verdict == feed.Conflict:
-		p.changing[id] = progress{step: s, since: now}
+		s.At = now
+		p.changing[id] = progress{step: s}
 		delete(p.counts, id)
 	case verdict == feed.AlreadyDone:
 		p.Reported(id, feed.Report{OrderCount: s.OrderCount, Weights: map[string]int{s.Model: s.Version}}, now)
@@ -196,7 +197,7 @@
 	pr, ok := p.changing[id]
 	if ok && !r.Busy && r.Weights[pr.step.Model] >= pr.step.Version {
 		delete(p.changing, id)
-		p.load = max(minLoad, min(p.load, now-pr.since-reportLag))
+		p.load = max(minLoad, min(p.load, now-pr.step.At-reportLag))
 	}
 }
 
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -19,6 +19,7 @@
 	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/shun"
 	"cicadastand.dev/core/proto/feed"
@@ -68,6 +69,10 @@
 	// lookMesh and lookHubs are how many engines are looked at for a placement.
 	lookMesh = 16
 	lookHubs = 3
+	// noticeMesh and noticeHubs are how long a pause takes to reach all hosts: at
+	// once, or by two messages of shareInterval.
+	noticeMesh = 80 * time.Millisecond
+	noticeHubs = 2*shareInterval + 50*time.Millisecond
 	// hubRetry is when a hub that did not answer is tried again.
 	hubRetry = 2 * time.Second
 	// entriesInterval keeps an endpoint's leaving known well within its drain time.
@@ -111,6 +116,7 @@
 	loads    *load.Table
 	kept     *kept.Index
 	shun     *shun.Table
+	pauses   *pause.Table
 	hop      *hop.Pool
 	relay    *relay.Relay
 	share    *share.Service
@@ -136,6 +142,7 @@
 		loads:    load.New(forgetPeer),
 		kept:     kept.New(),
 		shun:     shun.New(shunConfig),
+		pauses:   pause.New(),
 		metrics:  metrics.NewSet(),
 	}
 	suspects := poison.New(poison.Config{Memory: suspectMemory})
@@ -162,6 +169,7 @@
 		Kept:          h.kept,
 		News:          news,
 		Shun:          h.shun,
+		Pauses:        h.pauses,
 		Budget:        repeats,
 		Poison:        suspects,
 		Look:          h.look,
@@ -194,7 +202,7 @@
 		Poison:   suspects,
 		Kept:     h.kept,
 		News:     news,
-		Changing: h.relay.Pause,
+		Pauses:   h.pauses,
 		Interval: shareInterval,
 		Logger:   cfg.Logger,
 		Metrics:  h.metrics,
@@ -208,16 +216,18 @@
 		Logger:     cfg.Logger,
 	})
 	h.weight = weight.New(weight.Config{
-		Clock:   cfg.Clock,
-		Host:    s.Host,
-		Lease:   s.Bounds.Lease,
-		Board:   h.board,
-		MayLead: h.isHub,
-		Leases:  cfg.Platform.Source,
-		Engines: cfg.Platform.Engines,
-		Loads:   h.requests,
-		Changed: h.share.Change,
-		Logger:  cfg.Logger,
+		Clock:    cfg.Clock,
+		Host:     s.Host,
+		Lease:    s.Bounds.Lease,
+		Board:    h.board,
+		MayLead:  h.isHub,
+		Leases:   cfg.Platform.Source,
+		Engines:  cfg.Platform.Engines,
+		Loads:    h.requests,
+		Pauses:   h.pauses,
+		Announce: h.share.Announce,
+		Notice:   h.notice,
+		Logger:   cfg.Logger,
 	})
 	return h
 }
@@ -231,6 +241,14 @@
 	return lookHubs
 }
 
+// notice is the time that peers need to learn of a pause.
+func (h *Host) notice() time.Duration {
+	if h.hubs.IsMesh() {
+		return noticeMesh
+	}
+	return noticeHubs
+}
+
 // isHub reports whether this host reads the store for its failure domain.
 func (h *Host) isHub() bool { return h.share.IsHub() }
 
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -142,11 +142,10 @@
 	view := r.cfg.Board.View()
 	j.view = view
 	all := view.ByService[j.serviceName]
-	paused := *r.paused.Load()
 	var list []*site.Endpoint
 	now := r.cfg.Clock.Boot()
 	for _, e := range all {
-		if !j.tried[e.ID] && !paused[e.ID] && !r.cfg.Shun.Shunned(e.ID, now) {
+		if !j.tried[e.ID] && !r.cfg.Pauses.Paused(e.ID, now) && !r.cfg.Shun.Shunned(e.ID, now) {
 			list = append(list, e)
 		}
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/shun"
 	"cicadastand.dev/core/proto/call"
@@ -40,13 +41,14 @@
 
 // Config says what a Relay works with.
 type Config struct {
-	Clock Timer
-	Codec Codec
-	Board *sight.Board
-	Hop   *hop.Pool
-	Loads *load.Table
-	Kept  *kept.Index
-	Shun  *shun.Table
+	Clock  Timer
+	Codec  Codec
+	Board  *sight.Board
+	Hop    *hop.Pool
+	Loads  *load.Table
+	Kept   *kept.Index
+	Shun   *shun.Table
+	Pauses *pause.Table
 	// News is told of placements that other hosts would not expect.
 	News   *kept.News
 	Budget *budget.Book
@@ -74,8 +76,6 @@
 	buffered atomic.Int64
 	inFlight atomic.Int64
 	stopping atomic.Bool
-	// paused holds the endpoints that load weights.
-	paused atomic.Pointer[map[string]bool]
 
 	latency *metrics.Histogram
 	first   *metrics.Histogram
@@ -90,14 +90,9 @@
 		latency: cfg.Metrics.NewHistogram("cicada_relay_seconds"),
 		first:   cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
 	}
-	none := map[string]bool{}
-	r.paused.Store(&none)
 	return r
 }
 
-// Pause sets the endpoints that take no requests for now.
-func (r *Relay) Pause(endpoints map[string]bool) { r.paused.Store(&endpoints) }
-
 // Stop makes clients leave: each answer closes its connection from now on.
 func (r *Relay) Stop() { r.stopping.Store(true) }
 
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/loadpb"
@@ -48,6 +49,24 @@
 	}), now)
 }
 
+// pauses tells the pauses by the time until they begin and end.
+func (s *Service) pauses() []*loadpb.Pause {
+	now := s.cfg.Clock.Boot()
+	return lo.MapToSlice(s.cfg.Pauses.Current(now), func(id string, p pause.Span) *loadpb.Pause {
+		return &loadpb.Pause{Endpoint: id, FromMs: int32((p.From - now).Milliseconds()), UntilMs: int32((p.Until - now).Milliseconds())}
+	})
+}
+
+func (s *Service) takePauses(in []*loadpb.Pause) {
+	now := s.cfg.Clock.Boot()
+	for _, p := range in {
+		s.cfg.Pauses.Heard(p.GetEndpoint(), pause.Span{
+			From:  now + time.Duration(p.GetFromMs())*time.Millisecond,
+			Until: now + time.Duration(p.GetUntilMs())*time.Millisecond,
+		}, now)
+	}
+}
+
 func placementMessage(p kept.Placement, _ int) *loadpb.Placement {
 	return &loadpb.Placement{
 		Endpoint: p.Endpoint,
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -18,6 +18,7 @@
 
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/proto/loadpb"
@@ -56,8 +57,7 @@
 	Poison *poison.Table
 	Kept   *kept.Index
 	News   *kept.News
-	// Changing is told which endpoints change weights, whoever ordered it.
-	Changing func(endpoints map[string]bool)
+	Pauses *pause.Table
 	// Interval is the time between messages.
 	Interval time.Duration
 	Logger   hclog.Logger
@@ -67,9 +67,8 @@
 const (
 	// callTimeout bounds a message; a later one replaces it anyway.
 	callTimeout = 400 * time.Millisecond
-	// wordTrust is how long a peer's word on changing endpoints holds, and how long
-	// a host that was asked as a hub acts as one.
-	wordTrust = 1500 * time.Millisecond
+	// askedTrust is how long a host that was asked as a hub acts as one.
+	askedTrust = 1500 * time.Millisecond
 	// maxSuspects bounds the suspects in one message.
 	maxSuspects = 32
 )
@@ -84,30 +83,20 @@
 	listener net.Listener
 	peers    *peers
 
-	mu       sync.Mutex
-	changing map[string]word
-	own      []string
-	leaving  bool
+	mu      sync.Mutex
+	leaving bool
 	// asked is when a host of the domain last spoke to this one as its hub.
 	asked time.Duration
 
 	failures *metrics.Counter
 }
 
-// word is what a host said of changing endpoints.
-type word struct {
-	scope     load.Scope
-	endpoints []string
-	at        time.Duration
-}
-
 // New returns a service that has not started.
 func New(cfg Config) *Service {
 	return &Service{
 		cfg:      cfg,
 		peers:    newPeers(),
-		changing: make(map[string]word),
-		asked:    -wordTrust,
+		asked:    -askedTrust,
 		failures: cfg.Metrics.NewCounter("cicada_share_failures_total"),
 	}
 }
@@ -150,8 +139,7 @@
 	for {
 		select {
 		case <-tick.C():
-			s.tell(ctx)
-			s.review()
+			s.Announce(ctx)
 		case <-ctx.Done():
 			return
 		}
@@ -163,60 +151,21 @@
 func (s *Service) IsHub() bool {
 	now := s.cfg.Clock.Boot()
 	s.mu.Lock()
-	asked := now-s.asked < wordTrust
+	asked := now-s.asked < askedTrust
 	s.mu.Unlock()
 	return asked || s.cfg.Hubs.Own(now).Name == s.cfg.Self.Name
 }
 
-// Change sets the endpoints that change weights by this host's orders, and tells
-// peers at once if they are others than before.
-func (s *Service) Change(ctx context.Context, endpoints map[string]bool) {
-	s.mu.Lock()
-	missing, extra := lo.Difference(s.own, lo.Keys(endpoints))
-	s.own = lo.Keys(endpoints)
-	s.mu.Unlock()
-	s.review()
-	if len(missing)+len(extra) > 0 {
-		s.tell(ctx)
-	}
-}
-
 // Leave tells the peers that this host stops.
 func (s *Service) Leave(ctx context.Context) {
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	s.tell(ctx)
-}
-
-// review passes on which endpoints change weights by anyone's word.
-func (s *Service) review() {
-	s.cfg.Changing(lo.SliceToMap(s.changes(func(string, word) bool { return true }), func(id string) (string, bool) { return id, true }))
+	s.Announce(ctx)
 }
 
-// changes returns the endpoints that change weights by this host's word and the
-// words that count.
-func (s *Service) changes(counts func(name string, w word) bool) []string {
-	now := s.cfg.Clock.Boot()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := append([]string{}, s.own...)
-	for name, w := range s.changing {
-		if now-w.at <= wordTrust && counts(name, w) {
-			out = append(out, w.endpoints...)
-		}
-	}
-	return lo.Uniq(out)
-}
-
-func (s *Service) heardChanges(name string, scope load.Scope, endpoints []string) {
-	s.mu.Lock()
-	s.changing[name] = word{scope: scope, endpoints: endpoints, at: s.cfg.Clock.Boot()}
-	s.mu.Unlock()
-}
-
-// tell sends this host's word to its hub, or its domain's to the other hubs.
-func (s *Service) tell(ctx context.Context) {
+// Announce sends this host's word to its hub, or its domain's to the other hubs.
+func (s *Service) Announce(ctx context.Context) {
 	now := s.cfg.Clock.Boot()
 	own := s.cfg.Hubs.Own(now)
 	if own.Name != s.cfg.Self.Name {
@@ -287,8 +236,8 @@
 		if !s.IsHub() {
 			s.cfg.Loads.Told(hub, load.Rest, workFrom(in.GetWork()), now)
 		}
-		s.heardChanges("rest", load.Rest, in.GetChanging())
 	}
+	s.takePauses(in.GetPauses())
 	s.takeSuspects(in.GetSuspects())
 	for _, p := range in.GetPlacements() {
 		s.cfg.Kept.Add(placementFrom(p))
@@ -323,7 +272,7 @@
 		s.cfg.Loads.Told(name, scope, workFrom(in.GetWork()), now)
 	}
 	s.takeSuspects(in.GetSuspects())
-	s.heardChanges(name, scope, in.GetChanging())
+	s.takePauses(in.GetPauses())
 	for _, m := range in.GetPlacements() {
 		p := placementFrom(m)
 		s.cfg.Kept.Add(p)
@@ -349,7 +298,7 @@
 func (s *Service) answer(in *loadpb.Status, now time.Duration) *loadpb.Heard {
 	out := &loadpb.Heard{
 		Work:       workMessage(s.cfg.Loads.Without(in.GetHost(), now)),
-		Changing:   s.changes(func(name string, w word) bool { return w.scope != load.Rest && name != in.GetHost() }),
+		Pauses:     s.pauses(),
 		Suspects:   s.suspects(),
 		Placements: lo.Map(s.cfg.News.Take(in.GetHost(), now), placementMessage),
 	}
@@ -374,9 +323,6 @@
 func (s *Service) status(to string) *loadpb.Status {
 	out := s.header(to)
 	out.Work = workMessage(s.cfg.Loads.Own())
-	s.mu.Lock()
-	out.Changing = s.own
-	s.mu.Unlock()
 	if _, fingerprint, _, ok := s.cfg.Reads.Roster(); ok {
 		out.Roster = fingerprint
 	}
@@ -388,8 +334,6 @@
 	out := s.header(to)
 	out.ForDomain = true
 	out.Work = workMessage(s.cfg.Loads.OfDomain(s.cfg.Clock.Boot()))
-	// Only what this domain said itself: two hubs would tell each other the rest forever.
-	out.Changing = s.changes(func(_ string, w word) bool { return w.scope == load.Member })
 	return out
 }
 
@@ -401,6 +345,7 @@
 		Host:       s.cfg.Self.Name,
 		Domain:     s.cfg.Self.FailureDomain,
 		Leaving:    leaving,
+		Pauses:     s.pauses(),
 		Suspects:   s.suspects(),
 		Placements: lo.Map(s.cfg.News.Take(hubReader+to, s.cfg.Clock.Boot()), placementMessage),
 	}
--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cicadastand.dev/core/coord/lease"
+	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/plan"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
@@ -53,9 +54,12 @@
 	Leases  Leases
 	Engines Engines
 	Loads   Loads
-	// Changed is told which engines are about to change weights.
-	Changed func(ctx context.Context, engines map[string]bool)
-	Logger  hclog.Logger
+	// Pauses is told when engines load weights, and Announce tells peers of it.
+	Pauses   *pause.Table
+	Announce func(ctx context.Context)
+	// Notice is the time that peers need to learn of a pause.
+	Notice func() time.Duration
+	Logger hclog.Logger
 }
 
 const (
@@ -66,18 +70,22 @@
 	yieldTime = 300 * time.Millisecond
 	// reportInterval is the time between reports of an engine that changes.
 	reportInterval = 100 * time.Millisecond
+	// beginTime is how long before its order an engine is paused: an order turns
+	// away what waits there, and most of that has begun by then.
+	beginTime = 60 * time.Millisecond
+	// endTime is left after the expected end of a load.
+	endTime = 40 * time.Millisecond
 	// maxTasks bounds the calls to engines that are on their way.
 	maxTasks = 64
 )
 
 // Runner gives orders while this host holds the lease.
 type Runner struct {
-	cfg    Config
-	lease  *lease.Lease
-	plan   *plan.Plan
-	noted  time.Duration
-	asked  map[string]time.Duration
-	paused map[string]bool
+	cfg   Config
+	lease *lease.Lease
+	plan  *plan.Plan
+	noted time.Duration
+	asked map[string]time.Duration
 	// running counts the tasks on their way; done has room for all of them.
 	running chan struct{}
 	done    chan *task
@@ -90,7 +98,6 @@
 		lease:   lease.New(lease.Config{Host: cfg.Host, Duration: cfg.Lease}),
 		plan:    plan.New(),
 		asked:   make(map[string]time.Duration),
-		paused:  make(map[string]bool),
 		running: make(chan struct{}, maxTasks),
 		done:    make(chan *task, maxTasks),
 	}
@@ -116,7 +123,6 @@
 	behind := r.plan.Behind(r.cfg.Board.View(), now)
 	if len(behind) == 0 {
 		r.noted = 0
-		r.pause(ctx, nil)
 		return
 	}
 	if r.noted == 0 {
@@ -130,8 +136,8 @@
 		r.acquire(ctx, now)
 	}
 	r.check(ctx)
-	next := r.plan.Next(r.cfg.Board.View(), r.cfg.Loads(), r.cfg.Clock.Boot())
-	r.pause(ctx, r.plan.Changing())
+	next := r.plan.Next(r.cfg.Board.View(), r.cfg.Loads(), r.cfg.Clock.Boot(), r.cfg.Notice())
+	r.pause(ctx, next)
 	until := r.lease.Until()
 	for _, s := range next {
 		c := &task{r: r, endpoint: s.Endpoint, step: &s, until: until, fence: r.lease.Fence()}
@@ -139,12 +145,14 @@
 	}
 }
 
-func (r *Runner) pause(ctx context.Context, engines map[string]bool) {
-	if len(engines) == 0 && len(r.paused) == 0 {
-		return
+// pause plans the pauses that orders need, and tells peers at once.
+func (r *Runner) pause(ctx context.Context, next []plan.Step) {
+	for _, s := range next {
+		r.cfg.Pauses.Plan(s.Endpoint.ID, pause.Span{From: s.At - beginTime, Until: s.At + s.Load + endTime})
+	}
+	if len(next) > 0 {
+		r.cfg.Announce(ctx)
 	}
-	r.paused = engines
-	r.cfg.Changed(ctx, engines)
 }
 
 // acquire asks for the lease once that can succeed.
@@ -261,7 +269,7 @@
 }
 
 func (t *task) run(ctx context.Context) {
-	if t.step == nil || clock.Sleep(ctx, t.r.cfg.Clock, plan.Notice) == nil {
+	if t.step == nil || clock.Sleep(ctx, t.r.cfg.Clock, t.step.At-t.r.cfg.Clock.Boot()) == nil {
 		t.do(ctx)
 	}
 	t.r.done <- t
