Test the hosted router against stand-ins of the store and the endpoints

The stand-ins speak what the platform's pages say; the tests cover at most one run, true refusals, streams over two engines, revoked keys with the store away, a forgotten history, leaving endpoints, one holder, a planned stop, bad answers and forged headers.

--- /dev/null
+++ b/router/hosted/hosted_test.go
@@ -0,0 +1,261 @@
+package hosted_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/stand/depot"
+	"cicadastand.dev/stand/model"
+)
+
+func TestARequestGoesThroughUnchanged(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	shop := r.endpoint("i-1", "shop", "zone-0", model.Config{})
+	r.started()
+	got := r.ask(r.hosts[0], "POST", "/order/../a%2Fb/?x=1&y=%20", "r1", "key", "two stools")
+	is.NoErr(got.err)
+	is.Equal(got.status, 200)
+	is.Equal(got.body, "answer of i-1 to two stools")
+	is.Equal(got.header.Get("X-Response-Seal"), "seal-i-1")
+	run := shop.Runs()[0]
+	is.Equal(run.Path, "/order/../a%2Fb/?x=1&y=%20")
+	is.Equal(run.Header.Get("X-Tenant"), "acme")
+	is.Equal(run.Header.Get("Authorization"), "") // the key stays here
+	is.Equal(run.Header.Get("X-Hold"), "")
+	is.Equal(run.Header.Get("X-Expect-Instance"), "i-1")
+	is.Equal(run.Header.Get("X-Cache-Salt"), "account-acme") // isolated accounts share nothing
+}
+
+func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	is.True(!r.isReady(r.hosts[0]))
+	is.Equal(r.ask(r.hosts[0], "GET", "/lookup/", "r1", "key", "").status, 503)
+	r.endpoint("i-1", "shop", "zone-0", model.Config{})
+	r.started()
+	is.Equal(r.ask(r.hosts[0], "GET", "/lookup/", "r2", "wrong", "").status, 401)
+	is.Equal(r.ask(r.hosts[0], "GET", "/nowhere/", "r3", "key", "").status, 404)
+	is.Equal(r.ask(r.hosts[0], "POST", "/order/", "r4", "key", strings.Repeat("x", 1001)).status, 413)
+}
+
+func TestAnOrderRunsAtMostOnce(t *testing.T) {
+	for fate, want := range map[model.Fate]int{model.Break: 502, model.Unproved: 502, model.Busy: 502, model.Fail: 500} {
+		t.Run(fmt.Sprint(fate), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, 1)
+			runs := 0
+			for _, id := range []string{"i-1", "i-2"} {
+				r.endpoint(id, "shop", "zone-0", model.Config{}).Behave(func(*http.Request) model.Fate { return fate })
+			}
+			r.started()
+			got := r.ask(r.hosts[0], "POST", "/order/", "r1", "key", "x")
+			is.Equal(got.status, want)
+			is.Equal(got.header.Get("X-Response-Seal") != "", fate == model.Fail)
+			for _, s := range r.servers {
+				runs += len(s.Runs())
+			}
+			is.Equal(runs, 1)
+		})
+	}
+}
+
+func TestARefusedOrderGoesToAnotherEndpoint(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	full := func(*http.Request) model.Fate { return model.Full }
+	r.endpoint("i-1", "shop", "zone-0", model.Config{}).Behave(full)
+	r.endpoint("i-2", "shop", "zone-0", model.Config{})
+	r.started()
+	for n := range 4 {
+		is.Equal(r.ask(r.hosts[0], "POST", "/order/", fmt.Sprint("r", n), "key", fmt.Sprint(n)).status, 200)
+	}
+	is.Equal(len(r.servers["i-1"].Runs()), 0)
+	r.servers["i-2"].Behave(full)
+	got := r.ask(r.hosts[0], "POST", "/order/", "r9", "key", "x")
+	is.Equal(got.status, 503) // no endpoint ran it
+	is.True(got.header.Get("Retry-After") != "")
+}
+
+func TestALookupThatFailsIsAskedElsewhere(t *testing.T) {
+	for _, fate := range []model.Fate{model.Fail, model.Break, model.Unproved} {
+		is := is.New(t)
+		r := newRig(t, 1)
+		r.endpoint("i-1", "shop", "zone-0", model.Config{}).Behave(func(*http.Request) model.Fate { return fate })
+		r.endpoint("i-2", "shop", "zone-0", model.Config{})
+		r.started()
+		for n := range 3 {
+			is.Equal(r.ask(r.hosts[0], "GET", fmt.Sprint("/lookup/", n), fmt.Sprint("r", n), "key", "").status, 200)
+		}
+	}
+}
+
+func TestAStreamGoesOnAtAnotherEngine(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	engine := model.Config{Name: "m", Events: 6}
+	broken := false
+	behave := func(*http.Request) model.Fate {
+		if broken {
+			return model.Answer
+		}
+		broken = true
+		return model.Break
+	}
+	r.endpoint("i-1", "engines", "zone-0", engine).Behave(behave)
+	r.endpoint("i-2", "engines", "zone-0", engine).Behave(behave)
+	r.started()
+	got := r.ask(r.hosts[0], "POST", "/chat/", "r1", "key", "hello")
+	is.NoErr(got.err)
+	want := ""
+	for id := 1; id <= 6; id++ {
+		want += fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id)
+	}
+	is.Equal(got.body, want)
+	is.Equal(len(r.servers["i-1"].Runs())+len(r.servers["i-2"].Runs()), 2)
+}
+
+func TestAStreamThatCantGoOnDoesNotLookComplete(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	r.endpoint("i-1", "engines", "zone-0", model.Config{Name: "m", Events: 6}).Behave(func(*http.Request) model.Fate { return model.Break })
+	r.started()
+	got := r.ask(r.hosts[0], "POST", "/chat/", "r1", "key", "hello")
+	is.True(got.err != nil)
+	is.True(strings.HasPrefix(got.body, "id: 1\n"))
+}
+
+func TestTheEngineLearnsThatTheClientLeft(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	ended := make(chan struct{})
+	r.endpoint("i-1", "engines", "zone-0", model.Config{Name: "m", Events: 1000, Pause: 10 * time.Millisecond}).Behave(func(req *http.Request) model.Fate {
+		context.AfterFunc(req.Context(), func() { close(ended) })
+		return model.Answer
+	})
+	r.started()
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", r.hosts[0].url+"/chat/", strings.NewReader("x"))
+	is.NoErr(err)
+	req.Host = "a.example"
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("X-Request-Id", "r1")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	is.NoErr(err)
+	cancel()
+	_ = resp.Body.Close()
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond): // the bound of the platform's pages
+		t.Fatal("the engine still works half a second after the client has left")
+	}
+}
+
+// A key that was taken away while the store turns a host away must not be used
+// once its proof has ended.
+func TestARevokedKeyEndsWithItsProof(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	r.endpoint("i-1", "shop", "zone-0", model.Config{})
+	r.started()
+	is.Equal(r.ask(r.hosts[0], "GET", "/lookup/", "r1", "key", "").status, 200)
+	r.depot.SetFault(func(string, string) depot.Fault { return depot.Refuse })
+	r.config(2, "other")
+	revoked := time.Now()
+	r.eventually("key is refused", func() bool {
+		sent := time.Now()
+		got := r.ask(r.hosts[0], "GET", "/lookup/", "r", "key", "")
+		if got.status == 200 {
+			is.True(sent.Sub(revoked) < revokeTime)
+		}
+		return got.status == 503
+	})
+	is.True(!r.isReady(r.hosts[0]))
+	r.depot.SetFault(nil)
+	r.eventually("new key is accepted", func() bool {
+		return r.ask(r.hosts[0], "GET", "/lookup/", "r", "other", "").status == 200
+	})
+	is.Equal(r.ask(r.hosts[0], "GET", "/lookup/", "r", "key", "").status, 401)
+}
+
+func TestAForgottenHistoryLosesNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	r.endpoint("i-1", "shop", "zone-0", model.Config{})
+	r.started()
+	r.config(2, "other")
+	r.depot.Forget("keyed.op")
+	r.depot.Forget("keyed.servers")
+	r.eventually("new key is accepted", func() bool {
+		return r.ask(r.hosts[0], "GET", "/lookup/", "r", "other", "").status == 200
+	})
+	is.True(r.isReady(r.hosts[0]))
+}
+
+func TestALeavingEndpointGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	r.endpoint("i-1", "shop", "zone-0", model.Config{})
+	r.endpoint("i-2", "shop", "zone-0", model.Config{})
+	r.started()
+	r.enter("i-1", "shop", "zone-0", "draining", 2)
+	time.Sleep(2 * time.Second) // the time for which the platform lets it be used
+	before := len(r.servers["i-1"].Runs())
+	for n := range 6 {
+		is.Equal(r.ask(r.hosts[0], "GET", fmt.Sprint("/lookup/", n), fmt.Sprint("r", n), "key", "").status, 200)
+	}
+	is.Equal(len(r.servers["i-1"].Runs()), before)
+}
+
+func TestOneHolderBringsAllEnginesToTheNewestWeights(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3)
+	for n := range 5 {
+		r.endpoint(fmt.Sprint("i-", n), "engines", "zone-0", model.Config{Name: "m", Events: 1})
+	}
+	r.started()
+	for version := 2; version <= 4; version++ {
+		r.put("keyed.op", "version/m", map[string]any{"model": "m", "version": version})
+		r.eventually("all engines have the version", func() bool {
+			for id, s := range r.servers {
+				r.enter(id, "engines", "zone-0", "ready", version)
+				if s.Version() != version {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	holders := make(map[string]string)
+	for _, s := range r.servers {
+		for _, h := range s.Holders() {
+			name, fence, _ := strings.Cut(h, " ")
+			if holders[fence] == "" {
+				holders[fence] = name
+			}
+			is.Equal(holders[fence], name) // one fencing token, one host
+		}
+	}
+}
+
+func TestAPlannedStopEndsWhatRuns(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	r.endpoint("i-1", "engines", "zone-0", model.Config{Name: "m", Events: 20, Pause: 50 * time.Millisecond})
+	r.started()
+	done := make(chan reply, 1)
+	go func() { done <- r.ask(r.hosts[0], "POST", "/chat/", "r1", "key", "x") }()
+	r.eventually("the stream runs", func() bool { return len(r.servers["i-1"].Runs()) == 1 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.hosts[0].Stop(context.Background()) }()
+	got := <-done
+	is.NoErr(got.err)
+	is.True(strings.Contains(got.body, "id: 20\n"))
+	is.NoErr(<-stopped)
+}
--- /dev/null
+++ b/stand/depot/depot_test.go
@@ -0,0 +1,106 @@
+package depot_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/platform/store"
+	"cicadastand.dev/stand/depot"
+)
+
+func start(t *testing.T) (*depot.Depot, *store.Client) {
+	t.Helper()
+	d := depot.New()
+	server := httptest.NewServer(d)
+	t.Cleanup(server.Close)
+	client := store.New(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	t.Cleanup(client.Close)
+	return d, client
+}
+
+func TestRecordsComeBackInOrder(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, c := start(t)
+	for _, text := range []string{"a", "", "ccc"} {
+		page, err := c.Read(ctx, "t", 0, 0)
+		is.NoErr(err)
+		_, err = c.AppendAt(ctx, "t", page.End, []byte(text))
+		is.NoErr(err)
+	}
+	page, err := c.Read(ctx, "t", 1, 0)
+	is.NoErr(err)
+	is.Equal(page.End, int64(3))
+	is.Equal(len(page.Records), 2)
+	is.Equal(string(page.Records[1]), "ccc")
+}
+
+func TestAConditionThatDoesNotHoldIsSaid(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	d, c := start(t)
+	_, err := c.AppendAt(ctx, "t", 1, []byte("x"))
+	is.True(store.IsErrMoved(err))
+	is.Equal(d.Records("t"), int64(0))
+}
+
+func TestAReadWaitsForARecord(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	d, c := start(t)
+	got := make(chan store.Page, 1)
+	go func() {
+		page, err := c.Read(ctx, "keyed.t", 0, 10*time.Second)
+		if err == nil {
+			got <- page
+		}
+	}()
+	is.NoErr(d.Put("keyed.t", "k", []byte("v")))
+	page := <-got
+	key, value, err := store.SplitKeyed(page.Records[0])
+	is.NoErr(err)
+	is.Equal(key, "k")
+	is.Equal(string(value), "v")
+}
+
+func TestForgottenRecordsAreSaidAndTheNewestStay(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	d, c := start(t)
+	is.NoErr(c.Put(ctx, "keyed.t", "k", []byte("1")))
+	is.NoErr(c.Put(ctx, "keyed.t", "k", []byte("2")))
+	is.NoErr(c.Put(ctx, "keyed.t", "gone", []byte("3")))
+	is.NoErr(c.Put(ctx, "keyed.t", "gone", nil))
+	d.Forget("keyed.t")
+	_, err := c.Read(ctx, "keyed.t", 0, 0)
+	is.True(store.IsErrTrimmed(err))
+	records, end, err := c.Newest(ctx, "keyed.t")
+	is.NoErr(err)
+	is.Equal(end, int64(4))
+	is.Equal(len(records), 1)
+	is.Equal(string(records[0].Value), "2")
+}
+
+func TestFaultsAreErrorsOfTheirKind(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	d, c := start(t)
+	d.SetFault(func(method, _ string) depot.Fault {
+		if method == "POST" {
+			return depot.LoseAnswer
+		}
+		return depot.Refuse
+	})
+	_, err := c.Read(ctx, "t", 0, 0)
+	is.True(store.IsErrStatus(err))
+	_, err = c.AppendAt(ctx, "t", 0, []byte("x"))
+	is.True(err != nil)
+	is.True(!store.IsErrMoved(err) && !store.IsErrStatus(err)) // its outcome is open
+	is.Equal(d.Records("t"), int64(1))
+}
