Order requests by account and then by route, and notice silent connections

Cause: the rank of an account stood for that of the route, and nearly all accounts have the same, so that in a burst the engines took the least urgent work as soon as the most urgent. Connections to endpoints without power hung. Change: rank is account first, route second; connections are probed, and fail when data stays without acknowledgement for 0.9 s; a host that is cut off sends clients elsewhere at once.

--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -107,6 +107,15 @@
 // after some seconds.
 var shunConfig = shun.Config{First: 300 * time.Millisecond, Longest: 3 * time.Second}
 
+// silence tells endpoints that are gone from those that work: a packet that is
+// lost on the way is sent again within half a second.
+var silence = dials.Silence{
+	Unacknowledged: 900 * time.Millisecond,
+	ProbeAfter:     time.Second,
+	ProbeInterval:  time.Second,
+	Probes:         2,
+}
+
 // Host is a router process on a platform.
 type Host struct {
 	cfg      Config
@@ -153,7 +162,7 @@
 	})
 	h.hop = hop.New(hop.Config{
 		Clock:       cfg.Clock,
-		Dial:        dials.From(netip.Addr{}),
+		Dial:        dials.Watched(silence),
 		DialTimeout: dialTimeout,
 		IdleTimeout: idleChannel,
 		FreshFor:    freshChannel,
@@ -173,6 +182,7 @@
 		Budget:        repeats,
 		Poison:        suspects,
 		Look:          h.look,
+		IsAlone:       h.isAlone,
 		FailureDomain: s.FailureDomain,
 		OldWeights:    s.Bounds.Weights,
 		KeyFreshness:  s.Bounds.Revoke - keyMargin,
@@ -241,6 +251,9 @@
 	return lookHubs
 }
 
+// isAlone reports whether no other host is heard.
+func (h *Host) isAlone() bool { return h.share.IsAlone() }
+
 // notice is the time that peers need to learn of a pause.
 func (h *Host) notice() time.Duration {
 	if h.hubs.IsMesh() {
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -54,7 +54,7 @@
 	}
 	// The host may have been suspended since the request came in.
 	if j.account != nil && !r.fresh() {
-		return false, refuse(http.StatusServiceUnavailable, retryStale, "configuration is too old to accept keys")
+		return false, refuse(http.StatusServiceUnavailable, r.retryStale(), "configuration is too old to accept keys")
 	}
 	left := j.patience.Sub(r.cfg.Clock.Now())
 	if left <= 0 {
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -24,6 +24,8 @@
 	maxCrashes = 2
 	// defaultMaxBody is used where the configuration sets no bound.
 	defaultMaxBody = 4 << 20
+	// routeRanks is how many ranks of routes are told apart within one of accounts.
+	routeRanks = 3
 	// maxRank is the least urgent rank that engines know.
 	maxRank = 9
 )
@@ -74,12 +76,12 @@
 	j.view = r.cfg.Board.View()
 	config := j.view.Config
 	if config == nil {
-		return refuse(http.StatusServiceUnavailable, retryStale, "no configuration yet")
+		return refuse(http.StatusServiceUnavailable, r.retryStale(), "no configuration yet")
 	}
 	route, ok := config.Match(j.req.Host, rawPath(j.req))
 	if !ok {
 		if !r.fresh() {
-			return refuse(http.StatusServiceUnavailable, retryStale, "configuration is too old")
+			return refuse(http.StatusServiceUnavailable, r.retryStale(), "configuration is too old")
 		}
 		return refuse(http.StatusNotFound, 0, "no route for this host and path")
 	}
@@ -111,7 +113,7 @@
 		return nil
 	}
 	if !j.r.fresh() {
-		return refuse(http.StatusServiceUnavailable, retryStale, "configuration is too old to accept keys")
+		return refuse(http.StatusServiceUnavailable, j.r.retryStale(), "configuration is too old to accept keys")
 	}
 	account, ok := j.view.Config.Account(j.ask.Key)
 	if !ok {
@@ -199,13 +201,14 @@
 	return route.Targets[0].Service
 }
 
-// rank is the urgency of the request at an engine.
+// rank is the urgency of the request at an engine: by the account first, and by
+// the route among requests of equal accounts.
 func (j *job) rank() int {
-	rank := j.route.Rank
-	if j.account != nil && j.account.HasRank {
-		rank = j.account.Rank
+	route := min(max(0, j.route.Rank), routeRanks-1)
+	if j.account == nil || !j.account.HasRank {
+		return route
 	}
-	return min(max(0, rank), maxRank)
+	return min(max(0, j.account.Rank)*routeRanks+route, maxRank)
 }
 
 // wall separates the cached prompt parts of isolated accounts.
--- a/router/relay/reject.go
+++ b/router/relay/reject.go
@@ -46,14 +46,24 @@
 
 // The waits that are told to clients when no better figure is known.
 const (
-	// retryStale is about one read of the configuration.
-	retryStale = time.Second
+	// retryOutage is about one read of the configuration after the store's return.
+	retryOutage = time.Second
+	// retryElsewhere is for a host that is cut off: the next attempt meets another one.
+	retryElsewhere = 50 * time.Millisecond
 	// retryNoEndpoint is about one renewal of the endpoints' entries.
 	retryNoEndpoint = time.Second
 	// retryBusy is the time in which an engine reads a few prompts.
 	retryBusy = 300 * time.Millisecond
 )
 
+// retryStale is when to come back to a host whose configuration is too old.
+func (r *Relay) retryStale() time.Duration {
+	if r.cfg.IsAlone() {
+		return retryElsewhere
+	}
+	return retryOutage
+}
+
 var (
 	errTimeout  = &rejection{status: http.StatusGatewayTimeout, reason: "no answer in time"}
 	errBodySlow = &rejection{status: http.StatusBadRequest, reason: "request body did not arrive", close: true}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -55,6 +55,9 @@
 	Poison *poison.Table
 	// Look is how many engines are looked at for a placement.
 	Look func() int
+	// IsAlone reports whether this host hears no other one: then it is cut off, and
+	// others may serve what it can't.
+	IsAlone func() bool
 	// FailureDomain is the host's own.
 	FailureDomain string
 	// OldWeights is how long requests may begin on weights that were replaced.
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -87,6 +87,8 @@
 	leaving bool
 	// asked is when a host of the domain last spoke to this one as its hub.
 	asked time.Duration
+	// met is when this host last heard any other one.
+	met time.Duration
 
 	failures *metrics.Counter
 }
@@ -97,6 +99,7 @@
 		cfg:      cfg,
 		peers:    newPeers(),
 		asked:    -askedTrust,
+		met:      -2 * askedTrust,
 		failures: cfg.Metrics.NewCounter("cicada_share_failures_total"),
 	}
 }
@@ -156,6 +159,22 @@
 	return asked || s.cfg.Hubs.Own(now).Name == s.cfg.Self.Name
 }
 
+// IsAlone reports whether no other host was heard for a time.
+func (s *Service) IsAlone() bool {
+	now := s.cfg.Clock.Boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now-s.met > askedTrust
+}
+
+// meet notes that another host was heard.
+func (s *Service) meet() {
+	now := s.cfg.Clock.Boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.met = now
+}
+
 // Leave tells the peers that this host stops.
 func (s *Service) Leave(ctx context.Context) {
 	s.mu.Lock()
@@ -224,6 +243,7 @@
 		return
 	}
 	s.cfg.Hubs.Answered(m.to.Name)
+	s.meet()
 	if !m.status.GetForDomain() && !m.status.GetDirect() {
 		s.heard(m.to.Name, heard, sent)
 	}
@@ -258,6 +278,7 @@
 func (s *Service) Tell(_ context.Context, in *loadpb.Status) (*loadpb.Heard, error) {
 	name := in.GetHost()
 	now := s.cfg.Clock.Boot()
+	s.meet()
 	scope := load.Member
 	if in.GetForDomain() {
 		scope, name = load.Domain, "domain "+in.GetDomain()
