Refuse at once what can't be in time, and know load by rank

Change: hosts tell their waiting tokens by rank; a request whose first token is expected 1.5 times later than its target is refused with the time at which the queue is shorter.

--- /dev/null
+++ b/core/coord/early/early.go
@@ -0,0 +1,54 @@
+// Package early decides which requests are refused before they wait.
+//
+// It answers a burst of the least urgent work beside urgent work: what waits at
+// an engine until its time is over takes the place of what could have been
+// served in time, and its client learns of it only at the end. A request whose
+// first token can't come in time is refused at once, with the time at which the
+// queue will be shorter, spread so that clients don't come back together.
+package early
+
+import "time"
+
+const (
+	// lateFactor is the lateness, as a factor of the target, up to which a request
+	// is sent all the same: the expectation errs, and a late answer is of some use.
+	lateFactor = 1.5
+	// minReturn and maxReturn bound the time that clients are told.
+	minReturn = 100 * time.Millisecond
+	maxReturn = 2 * time.Second
+	// spreadShare is the part of that time over which clients are spread.
+	spreadShare = 0.5
+)
+
+// Demand is what is known of a request.
+type Demand struct {
+	// Expected is the time to the first token at the best engine.
+	Expected time.Duration
+	// Spent is the time since the request came in.
+	Spent time.Duration
+	// Target is the time in which the first token is wanted; 0 if none is set.
+	Target time.Duration
+	// Left is the time until the client or the route gives up.
+	Left time.Duration
+	// Begun is set if a part of the answer is on its way already.
+	Begun bool
+	// Spread is a number from 0 to 1 that differs among requests.
+	Spread float64
+}
+
+// Decide reports whether a request is sent, and if not, when to come back.
+func Decide(d Demand) (send bool, comeBack time.Duration) {
+	if d.Begun {
+		return true, 0
+	}
+	limit := d.Left
+	if d.Target > 0 {
+		limit = min(limit, time.Duration(lateFactor*float64(d.Target))-d.Spent)
+	}
+	over := d.Expected - limit
+	if over <= 0 {
+		return true, 0
+	}
+	wait := float64(over) * (1 + spreadShare*d.Spread)
+	return false, max(minReturn, min(maxReturn, time.Duration(wait)))
+}
--- a/core/coord/load/load.go
+++ b/core/coord/load/load.go
@@ -9,6 +9,8 @@
 	"maps"
 	"sync"
 	"time"
+
+	"cicadastand.dev/core/proto/call"
 )
 
 // Work is what waits and runs at an endpoint.
@@ -16,13 +18,27 @@
 	// Waiting requests have not answered yet, Running ones have begun to.
 	Waiting int
 	Running int
-	// Tokens is how much prompt the waiting requests still need read.
-	Tokens int
+	// Tokens is how much prompt the waiting requests still need read, by rank.
+	Tokens [call.Ranks]int
 }
 
 // Add returns the sum of two amounts of work.
 func (w Work) Add(o Work) Work {
-	return Work{Waiting: w.Waiting + o.Waiting, Running: w.Running + o.Running, Tokens: w.Tokens + o.Tokens}
+	w.Waiting += o.Waiting
+	w.Running += o.Running
+	for rank, n := range o.Tokens {
+		w.Tokens[rank] += n
+	}
+	return w
+}
+
+// Ahead returns how much prompt is read before that of a new request of a rank.
+func (w Work) Ahead(rank int) int {
+	sum := 0
+	for _, n := range w.Tokens[:min(rank+1, call.Ranks)] {
+		sum += n
+	}
+	return sum
 }
 
 // Requests returns how many requests are at the endpoint.
@@ -71,10 +87,12 @@
 	work     Work
 }
 
-// Begin notes a request that is sent with tokens of prompt to be read.
-func (t *Table) Begin(endpoint string, tokens int) *Ticket {
+// Begin notes a request of a rank that is sent with tokens of prompt to be read.
+func (t *Table) Begin(endpoint string, rank, tokens int) *Ticket {
 	k := &Ticket{table: t, endpoint: endpoint}
-	k.change(Work{Waiting: 1, Tokens: tokens})
+	waiting := Work{Waiting: 1}
+	waiting.Tokens[rank] = tokens
+	k.change(waiting)
 	return k
 }
 
@@ -95,7 +113,9 @@
 	w := t.own[k.endpoint].Add(to)
 	w.Waiting -= k.work.Waiting
 	w.Running -= k.work.Running
-	w.Tokens -= k.work.Tokens
+	for rank, n := range k.work.Tokens {
+		w.Tokens[rank] -= n
+	}
 	k.work = to
 	if w == (Work{}) {
 		delete(t.own, k.endpoint)
--- a/core/coord/load/load_test.go
+++ b/core/coord/load/load_test.go
@@ -9,13 +9,15 @@
 	"cicadastand.dev/core/coord/load"
 )
 
-func work(n int) map[string]load.Work { return map[string]load.Work{"e": {Waiting: n, Tokens: 10 * n}} }
+func work(n int) map[string]load.Work { return map[string]load.Work{"e": {Waiting: n}} }
 
 func TestARequestWaitsRunsAndEnds(t *testing.T) {
 	is := is.New(t)
 	table := load.New(time.Second)
-	k := table.Begin("e", 40)
-	is.Equal(table.At(0)["e"], load.Work{Waiting: 1, Tokens: 40})
+	k := table.Begin("e", 2, 40)
+	is.Equal(table.At(0)["e"].Waiting, 1)
+	is.Equal(table.At(0)["e"].Ahead(1), 0) // more urgent work does not wait for it
+	is.Equal(table.At(0)["e"].Ahead(2), 40)
 	k.Started()
 	is.Equal(table.At(0)["e"], load.Work{Running: 1})
 	k.End()
@@ -26,7 +28,7 @@
 func TestAHubCountsItsDomainOnceAndTheOthers(t *testing.T) {
 	is := is.New(t)
 	table := load.New(time.Second)
-	table.Begin("e", 10)
+	table.Begin("e", 0, 10)
 	table.Told("a", load.Member, work(2), 0)
 	table.Told("domain x", load.Domain, work(5), 0)
 	is.Equal(table.At(0)["e"].Waiting, 8)
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -55,6 +55,8 @@
 	// Tokens is its length, Shared the part that other requests have in common.
 	Tokens int
 	Shared int
+	// Rank is its urgency: what is less urgent waits behind it.
+	Rank int
 	// Key names the deepest shared part; empty if there is none.
 	Key string
 }
@@ -86,7 +88,7 @@
 	best, least, seen := owner, time.Duration(math.MaxInt64), 0
 	for at, i := range ranked {
 		e := engines[i]
-		if seen >= look && at%look == 0 && wait(engines[best]) < busyWait {
+		if seen >= look && at%look == 0 && p.wait(engines[best]) < busyWait {
 			break
 		}
 		seen++
@@ -119,8 +121,8 @@
 	return cost
 }
 
-// wait is the time until the engine begins with a new prompt.
-func wait(e Engine) time.Duration { return FirstToken(Prompt{}, e) }
+// wait is the time until the engine begins with the prompt.
+func (p Prompt) wait(e Engine) time.Duration { return FirstToken(Prompt{Rank: p.Rank}, e) }
 
 func readTime(tokens float64, e Engine) time.Duration {
 	return time.Duration(tokens / e.Rate * float64(time.Second))
@@ -128,7 +130,7 @@
 
 // FirstToken returns the time that an engine takes to the first token.
 func FirstToken(p Prompt, e Engine) time.Duration {
-	cost := readTime(float64(e.Work.Tokens+max(0, p.Tokens-e.Held)), e)
+	cost := readTime(float64(e.Work.Ahead(p.Rank)+max(0, p.Tokens-e.Held)), e)
 	cost += time.Duration(e.Work.Running) * runningCost
 	if over := e.Work.Requests() + 1 - e.Slots; over > 0 {
 		cost += time.Duration(over) * overfullCost
--- a/core/coord/place/place_test.go
+++ b/core/coord/place/place_test.go
@@ -20,6 +20,12 @@
 	return out
 }
 
+func work(waiting, tokens int) load.Work {
+	w := load.Work{Waiting: waiting}
+	w.Tokens[0] = tokens
+	return w
+}
+
 var prompt = place.Prompt{Tokens: 12_000, Shared: 5_000, Key: "catalogue"}
 
 func TestHostsAgreeOnTheHomeOfAPart(t *testing.T) {
@@ -43,7 +49,7 @@
 	got := place.Choose(prompt, list, 3)
 	is.Equal(got.Index, holder)
 	is.True(!got.Home)
-	list[holder].Work = load.Work{Waiting: 9, Tokens: 90_000}
+	list[holder].Work = work(9, 90_000)
 	is.True(place.Choose(prompt, list, 3).Index != holder) // waiting costs more than reading again
 }
 
@@ -58,7 +64,7 @@
 		c := place.Choose(prompt, list, 12)
 		e := &list[c.Index]
 		longest = max(longest, c.FirstToken)
-		e.Work = e.Work.Add(load.Work{Waiting: 1, Tokens: prompt.Tokens - e.Held})
+		e.Work = e.Work.Add(work(1, prompt.Tokens-e.Held))
 		e.Held = prompt.Shared
 		used[c.Index] = true
 	}
@@ -72,7 +78,7 @@
 	is := is.New(t)
 	list := engines(70)
 	for i := range list {
-		list[i].Work = load.Work{Waiting: 1, Tokens: 5_000}
+		list[i].Work = work(1, 5_000)
 	}
 	list[17].Work = load.Work{}
 	herd := 0
@@ -91,7 +97,7 @@
 	is := is.New(t)
 	list := engines(12)
 	for i := range list {
-		list[i].Work = load.Work{Waiting: 8, Tokens: 80_000}
+		list[i].Work = work(8, 80_000)
 	}
 	list[5].Work = load.Work{}
 	is.Equal(place.Choose(prompt, list, 3).Index, 5)
--- a/core/proto/call/call.go
+++ b/core/proto/call/call.go
@@ -4,6 +4,9 @@
 
 import "time"
 
+// Ranks is the number of ranks of urgency, 0 first.
+const Ranks = 10
+
 // Part is a piece of a prompt. Requests share parts; the last one is the
 // request's own.
 type Part struct {
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"cicadastand.dev/core/coord/early"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/proto/call"
@@ -52,6 +53,11 @@
 	if fault != nil {
 		return false, fault
 	}
+	if j.isModel() {
+		if ok, wait := early.Decide(j.demand(c)); !ok {
+			return false, refuse(http.StatusServiceUnavailable, wait, "first token is expected in %d ms at the best engine", c.expect.Milliseconds())
+		}
+	}
 	// The host may have been suspended since the request came in.
 	if j.account != nil && !r.fresh() {
 		return false, refuse(http.StatusServiceUnavailable, r.retryStale(), "configuration is too old to accept keys")
@@ -65,7 +71,7 @@
 	j.endpoint = c.endpoint.ID
 	j.tried[c.endpoint.ID] = true
 	j.placed(c, r.weights.of(c.endpoint, j.ask.Model))
-	ticket := r.cfg.Loads.Begin(c.endpoint.ID, c.read)
+	ticket := r.cfg.Loads.Begin(c.endpoint.ID, j.rank(), c.read)
 	defer ticket.End()
 	sent := r.cfg.Clock.Now()
 	reply, err := r.cfg.Hop.Send(ctx, hop.Target{Incarnation: c.endpoint.ID, Address: c.endpoint.Address}, j.message(c.endpoint, left), j.isOwn)
@@ -76,6 +82,19 @@
 	return j.receive(ctx, c, reply, ticket, sent)
 }
 
+// demand is what the decision to refuse early goes by.
+func (j *job) demand(c choice) early.Demand {
+	now := j.r.cfg.Clock.Now()
+	return early.Demand{
+		Expected: c.expect,
+		Spent:    now.Sub(j.start),
+		Target:   j.route.TargetLatency,
+		Left:     j.due.Sub(now),
+		Begun:    j.begun,
+		Spread:   float64(j.fingerprint[0]) / 256,
+	}
+}
+
 func (j *job) isOwn(h http.Header, id string) bool {
 	got := j.r.cfg.Codec.Answer(h).ID
 	return got == id || got == ""
@@ -177,7 +196,7 @@
 
 func (j *job) choosePrompt(list []*site.Endpoint, work map[string]load.Work) choice {
 	shared := j.ask.Shared()
-	prompt := place.Prompt{Tokens: j.ask.PromptTokens}
+	prompt := place.Prompt{Tokens: j.ask.PromptTokens, Rank: j.rank()}
 	for _, p := range shared {
 		prompt.Shared += p.Tokens
 		prompt.Key = p.ID
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -24,13 +24,24 @@
 
 func workMessage(work map[string]load.Work) []*loadpb.Work {
 	return lo.MapToSlice(work, func(id string, w load.Work) *loadpb.Work {
-		return &loadpb.Work{Endpoint: id, Waiting: uint32(max(0, w.Waiting)), Running: uint32(max(0, w.Running)), Tokens: uint32(max(0, w.Tokens))}
+		out := &loadpb.Work{Endpoint: id, Waiting: uint32(max(0, w.Waiting)), Running: uint32(max(0, w.Running))}
+		for rank, n := range w.Tokens {
+			if n > 0 {
+				// What lies before and is not said is 0.
+				out.Tokens = append(append(out.Tokens, make([]uint32, rank-len(out.Tokens))...), uint32(n))
+			}
+		}
+		return out
 	})
 }
 
 func workFrom(in []*loadpb.Work) map[string]load.Work {
 	return lo.SliceToMap(in, func(w *loadpb.Work) (string, load.Work) {
-		return w.GetEndpoint(), load.Work{Waiting: int(w.GetWaiting()), Running: int(w.GetRunning()), Tokens: int(w.GetTokens())}
+		out := load.Work{Waiting: int(w.GetWaiting()), Running: int(w.GetRunning())}
+		for rank, n := range w.GetTokens()[:min(len(w.GetTokens()), call.Ranks)] {
+			out.Tokens[rank] = int(n)
+		}
+		return w.GetEndpoint(), out
 	})
 }
 
