--- a/core/coord/early/early.go
+++ b/core/coord/early/early.go
@@ -10,9 +10,9 @@
 import "time"
 
 const (
-	// lateFactor is the lateness, as a factor of the target, up to which a request
-	// is sent all the same: the expectation errs, and a late answer is of some use.
-	lateFactor = 1.5
+	// busyShare is the part of the target that a request may wait before lateness
+	// counts: a large prompt that meets no queue is served, however long it takes.
+	busyShare = 0.1
 	// minReturn and maxReturn bound the time that clients are told.
 	minReturn = 100 * time.Millisecond
 	maxReturn = 2 * time.Second
@@ -22,7 +22,9 @@
 
 // Demand is what is known of a request.
 type Demand struct {
-	// Expected is the time to the first token at the best engine.
+	// Wait is the time until the best engine begins with the prompt, Expected the
+	// time to its first token.
+	Wait     time.Duration
 	Expected time.Duration
 	// Spent is the time since the request came in.
 	Spent time.Duration
@@ -41,11 +43,10 @@
 	if d.Begun {
 		return true, 0
 	}
-	limit := d.Left
-	if d.Target > 0 {
-		limit = min(limit, time.Duration(lateFactor*float64(d.Target))-d.Spent)
+	over := d.Expected - d.Left
+	if d.Target > 0 && d.Wait > time.Duration(busyShare*float64(d.Target)) {
+		over = max(over, d.Expected-(d.Target-d.Spent))
 	}
-	over := d.Expected - limit
 	if over <= 0 {
 		return true, 0
 	}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -34,10 +34,12 @@
 type choice struct {
 	endpoint *site.Endpoint
 	// read is how many tokens of the prompt it has to read.
-	read   int
+	read int
+	// wait is the time until it begins, expect the time to the first token.
+	wait   time.Duration
 	expect time.Duration
-	// idle is set if nothing waited there.
-	idle bool
+	// ahead is how many tokens are read before the prompt.
+	ahead int
 	// home is set if all hosts would choose the endpoint for the shared part.
 	home bool
 }
@@ -55,7 +57,7 @@
 	}
 	if j.isModel() {
 		if ok, wait := early.Decide(j.demand(c)); !ok {
-			return false, refuse(http.StatusServiceUnavailable, wait, "first token is expected in %d ms at the best engine", c.expect.Milliseconds())
+			return false, refuse(http.StatusServiceUnavailable, wait, "the best engine begins in %d ms and answers in %d ms", c.wait.Milliseconds(), c.expect.Milliseconds())
 		}
 	}
 	// The host may have been suspended since the request came in.
@@ -86,6 +88,7 @@
 func (j *job) demand(c choice) early.Demand {
 	now := j.r.cfg.Clock.Now()
 	return early.Demand{
+		Wait:     c.wait,
 		Expected: c.expect,
 		Spent:    now.Sub(j.start),
 		Target:   j.route.TargetLatency,
@@ -223,7 +226,7 @@
 	}
 	c := place.Choose(prompt, engines, j.r.cfg.Look())
 	e := engines[c.Index]
-	return choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), expect: c.FirstToken, idle: e.Work.Waiting == 0, home: c.Home}
+	return choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), wait: c.Wait, expect: c.FirstToken, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
 }
 
 // placed notes that the endpoint will hold the shared part of the prompt. Other
--- a/router/relay/speed.go
+++ b/router/relay/speed.go
@@ -37,7 +37,8 @@
 	return initialRate
 }
 
-// observe takes the time to the first token of a prompt that met no queue.
+// observe takes the time to a first token, before which a number of prompt tokens
+// had to be read: the prompt's own and those of what was ahead of it.
 func (s *speed) observe(endpoint string, read int, took time.Duration) {
 	took -= firstTokenTime
 	if read < minRead || took <= 0 {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -131,9 +131,7 @@
 	if !j.isModel() {
 		return
 	}
-	if c.idle {
-		j.r.speed.observe(c.endpoint.ID, c.read, j.r.cfg.Clock.Now().Sub(sent))
-	}
+	j.r.speed.observe(c.endpoint.ID, c.ahead+c.read, j.r.cfg.Clock.Now().Sub(sent))
 }
 
 // event passes one event on.
