Refuse what would be late while requests wait for each engine

Cause: the wait at one engine told too little of the load of all. Change: late requests are refused once, on average, one request waits for each engine; below that large prompts are served however long they take.

--- a/core/coord/early/early.go
+++ b/core/coord/early/early.go
@@ -10,9 +10,10 @@
 import "time"
 
 const (
-	// busyShare is the part of the target that a request may wait before lateness
-	// counts: a large prompt that meets no queue is served, however long it takes.
-	busyShare = 0.1
+	// busyWaiting is the number of waiting requests for each engine from which on
+	// lateness counts. Below it there is room, and a large prompt is served however
+	// long it takes.
+	busyWaiting = 1.0
 	// minReturn and maxReturn bound the time that clients are told.
 	minReturn = 100 * time.Millisecond
 	maxReturn = 2 * time.Second
@@ -22,9 +23,9 @@
 
 // Demand is what is known of a request.
 type Demand struct {
-	// Wait is the time until the best engine begins with the prompt, Expected the
-	// time to its first token.
-	Wait     time.Duration
+	// Waiting is how many requests wait for each engine, on average.
+	Waiting float64
+	// Expected is the time to the first token at the best engine.
 	Expected time.Duration
 	// Spent is the time since the request came in.
 	Spent time.Duration
@@ -44,7 +45,7 @@
 		return true, 0
 	}
 	over := d.Expected - d.Left
-	if d.Target > 0 && d.Wait > time.Duration(busyShare*float64(d.Target)) {
+	if d.Target > 0 && d.Waiting >= busyWaiting {
 		over = max(over, d.Expected-(d.Target-d.Spent))
 	}
 	if over <= 0 {
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -65,9 +65,7 @@
 type Choice struct {
 	// Index is that of the engine.
 	Index int
-	// Wait is the time until the engine begins with the prompt, FirstToken the
-	// expected time to the first token.
-	Wait       time.Duration
+	// FirstToken is the expected time to the first token.
 	FirstToken time.Duration
 	// Home is set if the engine is the one that all hosts choose for the shared
 	// part while nobody holds it.
@@ -106,7 +104,7 @@
 			best, least = i, cost
 		}
 	}
-	return Choice{Index: best, Wait: p.wait(engines[best]), FirstToken: FirstToken(p, engines[best]), Home: best == owner}
+	return Choice{Index: best, FirstToken: FirstToken(p, engines[best]), Home: best == owner}
 }
 
 // cost is the time to the first token, and what a second reading of the shared
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -35,9 +35,10 @@
 	endpoint *site.Endpoint
 	// read is how many tokens of the prompt it has to read.
 	read int
-	// wait is the time until it begins, expect the time to the first token.
-	wait   time.Duration
+	// expect is the time to the first token.
 	expect time.Duration
+	// waiting is how many requests wait for each engine, on average.
+	waiting float64
 	// ahead is how many tokens are read before the prompt.
 	ahead int
 	// home is set if all hosts would choose the endpoint for the shared part.
@@ -57,7 +58,7 @@
 	}
 	if j.isModel() {
 		if ok, wait := early.Decide(j.demand(c)); !ok {
-			return false, refuse(http.StatusServiceUnavailable, wait, "the best engine begins in %d ms and answers in %d ms", c.wait.Milliseconds(), c.expect.Milliseconds())
+			return false, refuse(http.StatusServiceUnavailable, wait, "first token is expected in %d ms, and %.1f requests wait for each engine", c.expect.Milliseconds(), c.waiting)
 		}
 	}
 	// The host may have been suspended since the request came in.
@@ -88,7 +89,7 @@
 func (j *job) demand(c choice) early.Demand {
 	now := j.r.cfg.Clock.Now()
 	return early.Demand{
-		Wait:     c.wait,
+		Waiting:  c.waiting,
 		Expected: c.expect,
 		Spent:    now.Sub(j.start),
 		Target:   j.route.TargetLatency,
@@ -213,7 +214,9 @@
 		prompt.Key = j.ask.ID
 	}
 	engines := make([]place.Engine, len(list))
+	waiting := 0.0
 	for i, e := range list {
+		waiting += float64(work[e.ID].Waiting) / float64(len(list))
 		engines[i] = place.Engine{
 			ID:     e.ID,
 			Slots:  e.Slots,
@@ -226,7 +229,7 @@
 	}
 	c := place.Choose(prompt, engines, j.r.cfg.Look())
 	e := engines[c.Index]
-	return choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), wait: c.Wait, expect: c.FirstToken, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
+	return choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), expect: c.FirstToken, waiting: waiting, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
 }
 
 // placed notes that the endpoint will hold the shared part of the prompt. Other
