--- a/core/state/site/site.go
+++ b/core/state/site/site.go
@@ -75,7 +75,10 @@
 	Slots int
 	// CacheTokens is the memory for running requests and cached prompt parts.
 	CacheTokens int
-	Models      []string
+	// TransferRate is how many tokens of cache an engine sends to another one in a
+	// second; 0 if they send none.
+	TransferRate float64
+	Models       []string
 }
 
 // Service is a set of endpoints that answer alike.
