Keep shared parts in the platform's store of KV cache

Cause: parts that no engine holds any more, or that no host knows to be held, were read again. Change: engines save what they read to the store, and fetch from it where no engine is known to hold the part; under the newest weights alone, with their version in the salt.

--- a/core/proto/call/call.go
+++ b/core/proto/call/call.go
@@ -56,6 +56,9 @@
 	// FetchFrom is an engine from which cached prompt parts are fetched; the zero
 	// address for none.
 	FetchFrom netip.AddrPort
+	// SaveTo is the store to which the engine sends the parts that it reads; the
+	// zero address for none.
+	SaveTo netip.AddrPort
 	// Weights is the only version of the weights that may run the request; 0 for any.
 	Weights int
 	// Rank is the urgency at the endpoint, 0 first.
--- a/core/state/site/site.go
+++ b/core/state/site/site.go
@@ -89,6 +89,9 @@
 	MaxConnections int
 	// Engine is nil unless the endpoints run models.
 	Engine *Engine
+	// CacheStore is where prompt parts are kept for engines; the zero address
+	// unless the service is such a store.
+	CacheStore netip.AddrPort
 }
 
 // Account is a client account.
@@ -114,6 +117,8 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
+	// CacheStore is the address of the first such store; the zero address for none.
+	CacheStore netip.AddrPort
 
 	accounts    map[string]*Account
 	hasAccounts bool
@@ -148,6 +153,9 @@
 	}
 	for _, s := range p.Services {
 		c.Services[s.Name] = s
+		if s.CacheStore.IsValid() && !c.CacheStore.IsValid() {
+			c.CacheStore = s.CacheStore
+		}
 	}
 	for _, r := range p.Routes {
 		host := strings.ToLower(r.Host)
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -39,6 +39,8 @@
 	// source is the engine to fetch the shared part from; nil for none. Only an
 	// engine with the newest weights fetches, and only from one that has them too.
 	source *site.Endpoint
+	// holds is set if the endpoint is known to hold the whole shared part.
+	holds bool
 	// weights is the version that the endpoint is believed to have.
 	weights int
 	// expect is the time to the first token.
@@ -122,9 +124,7 @@
 	if j.isModel() {
 		send.HasRank, send.Rank = true, j.rank()
 		send.Wall = j.salt(c.weights)
-		if c.source != nil {
-			send.FetchFrom, send.Weights = c.source.Address, c.weights
-		}
+		j.setSource(&send, c)
 	}
 	return hop.Message{
 		ID:     j.ask.ID,
@@ -207,6 +207,25 @@
 	return choice{endpoint: list[at]}
 }
 
+// setSource lets the engine fetch what it lacks, and save what it reads, if it
+// has the newest weights.
+func (j *job) setSource(send *call.Send, c choice) {
+	store := j.view.Config.CacheStore
+	newest := j.view.Newest(j.ask.Model)
+	if c.weights < newest || c.weights == 0 {
+		return
+	}
+	switch {
+	case c.source != nil:
+		send.FetchFrom, send.Weights = c.source.Address, c.weights
+	case store.IsValid() && len(j.ask.Shared()) > 0 && !c.holds:
+		send.FetchFrom, send.Weights = store, c.weights
+	}
+	if store.IsValid() && !c.holds {
+		send.SaveTo, send.Weights = store, c.weights
+	}
+}
+
 // salt keeps cached parts of isolated accounts apart, and those of each version
 // of the weights: an engine that fetches parts checks neither.
 func (j *job) salt(weights int) string { return j.wall() + "v" + strconv.Itoa(weights) }
@@ -268,7 +287,7 @@
 	}
 	c := place.Choose(prompt, engines, j.r.cfg.Look())
 	e := engines[c.Index]
-	out := choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), weights: j.r.weights.of(list[c.Index], j.ask.Model), expect: c.FirstToken, waiting: waiting, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
+	out := choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), holds: e.Held >= prompt.Shared, weights: j.r.weights.of(list[c.Index], j.ask.Model), expect: c.FirstToken, waiting: waiting, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
 	if source != nil && !e.Old && prompt.Fetchable > e.Held {
 		out.source, out.read = source, max(0, prompt.Tokens-prompt.Fetchable)
 	}
