--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -179,10 +179,10 @@
 }
 
 // LeastLoaded returns the index of the engine with the fewest requests for its
-// slots. Equal ones are taken from turn on, nearest first.
-func LeastLoaded(engines []Engine, turn int) int {
+// slots, among look of them from turn on.
+func LeastLoaded(engines []Engine, turn, look int) int {
 	best, least := 0, 0.0
-	for i := range engines {
+	for i := range min(look, len(engines)) {
 		j := (i + turn) % len(engines)
 		e := engines[j]
 		// Half a slot is what the way to another failure domain may cost.
--- a/core/coord/place/place_test.go
+++ b/core/coord/place/place_test.go
@@ -110,6 +110,6 @@
 	list[1].Work = load.Work{Running: 2}
 	list[2].Work, list[2].Slots = load.Work{Running: 3}, 64
 	for turn := range 3 {
-		is.Equal(place.LeastLoaded(list, turn), 2)
+		is.Equal(place.LeastLoaded(list, turn, 3), 2)
 	}
 }
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -203,7 +203,7 @@
 	for i, e := range list {
 		engines[i] = place.Engine{ID: e.ID, Slots: e.Slots, Work: work[e.ID], Remote: e.FailureDomain != j.r.cfg.FailureDomain}
 	}
-	at := place.LeastLoaded(engines, int(j.r.turn.Add(1)%uint64(len(list))))
+	at := place.LeastLoaded(engines, int(j.r.turn.Add(1)%uint64(len(list))), j.r.cfg.Look())
 	return choice{endpoint: list[at]}
 }
 
