Start the hosts of the tests after their endpoints are entered

The hosts' first read of the list came before the tests' endpoints on a busy machine, and the next one 800 ms later: tests failed with no endpoint listed. The check on walls moved to a route of engines, where the salt is sent.

--- a/router/hosted/hosted_test.go
+++ b/router/hosted/hosted_test.go
@@ -30,12 +30,21 @@
 	is.Equal(run.Header.Get("Authorization"), "") // the key stays here
 	is.Equal(run.Header.Get("X-Hold"), "")
 	is.Equal(run.Header.Get("X-Expect-Instance"), "i-1")
-	is.Equal(run.Header.Get("X-Cache-Salt"), "account-acme") // isolated accounts share nothing
+}
+
+func TestIsolatedAccountsAndVersionsShareNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	engine := r.endpoint("i-1", "engines", "zone-0", model.Config{Name: "m", Events: 1})
+	r.started()
+	is.Equal(r.ask(r.hosts[0], "POST", "/chat/", "r1", "key", "x").status, 200)
+	is.Equal(engine.Runs()[0].Header.Get("X-Cache-Salt"), "account-acmev1")
 }
 
 func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 1)
+	r.begin()
 	is.True(!r.isReady(r.hosts[0]))
 	is.Equal(r.ask(r.hosts[0], "GET", "/lookup/", "r1", "key", "").status, 503)
 	r.endpoint("i-1", "shop", "zone-0", model.Config{})
@@ -148,6 +157,7 @@
 	req.Header.Set("X-Request-Id", "r1")
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
 	cancel()
 	_ = resp.Body.Close()
 	select {
--- a/router/hosted/rig_test.go
+++ b/router/hosted/rig_test.go
@@ -36,6 +36,9 @@
 	servers map[string]*model.Endpoint
 	address map[string]string
 	hosts   []host
+	// planned is the number of hosts, and store where they find the store.
+	planned int
+	store   string
 }
 
 type host struct {
@@ -49,12 +52,17 @@
 	r := &rig{t: t, depot: depot.New(), servers: make(map[string]*model.Endpoint), address: make(map[string]string)}
 	store := httptest.NewServer(r.depot)
 	t.Cleanup(store.Close)
-	for i := range hosts {
-		r.hosts = append(r.hosts, r.host(i, strings.TrimPrefix(store.URL, "http://")))
-	}
+	r.planned, r.store = hosts, strings.TrimPrefix(store.URL, "http://")
 	return r
 }
 
+// begin starts the hosts. What stands in the store by then is in their first read.
+func (r *rig) begin() {
+	for len(r.hosts) < r.planned {
+		r.hosts = append(r.hosts, r.host(len(r.hosts), r.store))
+	}
+}
+
 // freePort returns a port on which nothing listens.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
@@ -177,6 +185,7 @@
 // started publishes a configuration and waits until all hosts serve by it.
 func (r *rig) started() {
 	r.config(1, "key")
+	r.begin()
 	for _, h := range r.hosts {
 		r.eventually("host is ready", func() bool { return r.isReady(h) })
 	}
