Vouch for no list while lapsed entries are held; take back the fetching of parts

Fetching from engines and from the store is taken back until each such request runs on one version alone; without it engines drop what they hold with each version, and nothing is fetched.

--- a/core/coord/pause/pause.go
+++ b/core/coord/pause/pause.go
@@ -53,14 +53,6 @@
 	return ok && now >= s.From && now < s.Until
 }
 
-// Planned reports whether an endpoint is paused now, will be, or was just now.
-func (t *Table) Planned(endpoint string, now time.Duration) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, ok := t.by[endpoint]
-	return ok && now < s.Until
-}
-
 // Current returns the pauses that have not ended.
 func (t *Table) Current(now time.Duration) map[string]Span {
 	t.mu.Lock()
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -24,9 +24,6 @@
 	readWeight = 3
 	// oldWeightsCost keeps requests away from engines whose weights were replaced.
 	oldWeightsCost = 25 * time.Millisecond
-	// fetchFactor allows for the way between failure domains, which takes twice as
-	// long, and for other transfers.
-	fetchFactor = 3
 	// busyWait is the wait at which more engines are looked at.
 	busyWait = 100 * time.Millisecond
 	// runningCost is how much a running request slows the reading of prompts.
@@ -58,10 +55,6 @@
 	// Tokens is its length, Shared the part that other requests have in common.
 	Tokens int
 	Shared int
-	// Fetchable is how much of the shared part another engine can send, and
-	// TransferRate how many tokens it sends in a second.
-	Fetchable    int
-	TransferRate float64
 	// Rank is its urgency: what is less urgent waits behind it.
 	Rank int
 	// Key names the deepest shared part; empty if there is none.
@@ -117,7 +110,7 @@
 // cost is the time to the first token, and what a second reading of the shared
 // part costs others. The owner counts as the holder while nobody is known to be.
 func (p Prompt) cost(e Engine, isHolder bool) time.Duration {
-	missed := p.Shared - max(e.Held, p.fetched(e))
+	missed := p.Shared - e.Held
 	if isHolder {
 		missed = 0
 	}
@@ -131,26 +124,13 @@
 // wait is the time until the engine begins with the prompt.
 func (p Prompt) wait(e Engine) time.Duration { return FirstToken(Prompt{Rank: p.Rank}, e) }
 
-// fetched returns how many leading tokens the engine has once it has fetched
-// what it can. Parts of other weights are of no use to it.
-func (p Prompt) fetched(e Engine) int {
-	if e.Old || p.TransferRate <= 0 || p.Fetchable <= e.Held {
-		return e.Held
-	}
-	return p.Fetchable
-}
-
 func readTime(tokens float64, e Engine) time.Duration {
 	return time.Duration(tokens / e.Rate * float64(time.Second))
 }
 
 // FirstToken returns the time that an engine takes to the first token.
 func FirstToken(p Prompt, e Engine) time.Duration {
-	has := p.fetched(e)
-	cost := readTime(float64(e.Work.Ahead(p.Rank)+max(0, p.Tokens-has)), e)
-	if has > e.Held {
-		cost += time.Duration(fetchFactor * float64(has-e.Held) / p.TransferRate * float64(time.Second))
-	}
+	cost := readTime(float64(e.Work.Ahead(p.Rank)+max(0, p.Tokens-e.Held)), e)
 	cost += time.Duration(e.Work.Running) * runningCost
 	if over := e.Work.Requests() + 1 - e.Slots; over > 0 {
 		cost += time.Duration(over) * overfullCost
--- a/core/state/site/site.go
+++ b/core/state/site/site.go
@@ -75,10 +75,7 @@
 	Slots int
 	// CacheTokens is the memory for running requests and cached prompt parts.
 	CacheTokens int
-	// TransferRate is how many tokens of cache an engine sends to another one in a
-	// second; 0 if they send none.
-	TransferRate float64
-	Models       []string
+	Models      []string
 }
 
 // Service is a set of endpoints that answer alike.
@@ -89,9 +86,6 @@
 	MaxConnections int
 	// Engine is nil unless the endpoints run models.
 	Engine *Engine
-	// CacheStore is where prompt parts are kept for engines; the zero address
-	// unless the service is such a store.
-	CacheStore netip.AddrPort
 }
 
 // Account is a client account.
@@ -117,8 +111,6 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
-	// CacheStore is the address of the first such store; the zero address for none.
-	CacheStore netip.AddrPort
 
 	accounts    map[string]*Account
 	hasAccounts bool
@@ -153,9 +145,6 @@
 	}
 	for _, s := range p.Services {
 		c.Services[s.Name] = s
-		if s.CacheStore.IsValid() && !c.CacheStore.IsValid() {
-			c.CacheStore = s.CacheStore
-		}
 	}
 	for _, r := range p.Routes {
 		host := strings.ToLower(r.Host)
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"cicadastand.dev/core/coord/early"
@@ -36,13 +35,6 @@
 	endpoint *site.Endpoint
 	// read is how many tokens of the prompt it has to read.
 	read int
-	// source is the engine to fetch the shared part from; nil for none. Only an
-	// engine with the newest weights fetches, and only from one that has them too.
-	source *site.Endpoint
-	// holds is set if the endpoint is known to hold the whole shared part.
-	holds bool
-	// weights is the version that the endpoint is believed to have.
-	weights int
 	// expect is the time to the first token.
 	expect time.Duration
 	// waiting is how many requests wait for each engine, on average.
@@ -81,11 +73,11 @@
 	j.ran++
 	j.endpoint = c.endpoint.ID
 	j.tried[c.endpoint.ID] = true
-	j.placed(c, c.weights)
+	j.placed(c, r.weights.of(c.endpoint, j.ask.Model))
 	ticket := r.cfg.Loads.Begin(c.endpoint.ID, j.rank(), c.read)
 	defer ticket.End()
 	sent := r.cfg.Clock.Now()
-	reply, err := r.cfg.Hop.Send(ctx, hop.Target{Incarnation: c.endpoint.ID, Address: c.endpoint.Address}, j.message(c, left), j.isOwn)
+	reply, err := r.cfg.Hop.Send(ctx, hop.Target{Incarnation: c.endpoint.ID, Address: c.endpoint.Address}, j.message(c.endpoint, left), j.isOwn)
 	if err != nil {
 		return j.sendFailed(ctx, c, err)
 	}
@@ -112,10 +104,11 @@
 	return got == id || got == ""
 }
 
-func (j *job) message(c choice, left time.Duration) hop.Message {
+func (j *job) message(e *site.Endpoint, left time.Duration) hop.Message {
 	send := call.Send{
-		Incarnation: c.endpoint.ID,
+		Incarnation: e.ID,
 		Left:        left,
+		Wall:        j.wall(),
 		LastEvent:   max(j.lastEvent, j.ask.LastEvent),
 	}
 	if j.account != nil {
@@ -123,8 +116,6 @@
 	}
 	if j.isModel() {
 		send.HasRank, send.Rank = true, j.rank()
-		send.Wall = j.salt(c.weights)
-		j.setSource(&send, c)
 	}
 	return hop.Message{
 		ID:     j.ask.ID,
@@ -207,51 +198,6 @@
 	return choice{endpoint: list[at]}
 }
 
-// setSource lets the engine fetch what it lacks, and save what it reads, if it
-// has the newest weights.
-func (j *job) setSource(send *call.Send, c choice) {
-	store := j.view.Config.CacheStore
-	newest := j.view.Newest(j.ask.Model)
-	if c.weights < newest || c.weights == 0 {
-		return
-	}
-	switch {
-	case c.source != nil:
-		send.FetchFrom, send.Weights = c.source.Address, c.weights
-	case store.IsValid() && len(j.ask.Shared()) > 0 && !c.holds:
-		send.FetchFrom, send.Weights = store, c.weights
-	}
-	if store.IsValid() && !c.holds {
-		send.SaveTo, send.Weights = store, c.weights
-	}
-}
-
-// salt keeps cached parts of isolated accounts apart, and those of each version
-// of the weights: an engine that fetches parts checks neither.
-func (j *job) salt(weights int) string { return j.wall() + "v" + strconv.Itoa(weights) }
-
-// source returns the engine that holds most of the shared part under the newest
-// weights, and how much it holds. Engines about to change weights are left out:
-// what they read then is not what its salt says.
-func (j *job) source(list []*site.Endpoint, shared []call.Part) (*site.Endpoint, int) {
-	r := j.r
-	newest := j.view.Newest(j.ask.Model)
-	now := r.cfg.Clock.Boot()
-	var best *site.Endpoint
-	most := 0
-	for _, e := range list {
-		weights := r.weights.of(e, j.ask.Model)
-		if weights < newest || r.cfg.Pauses.Planned(e.ID, now) || r.cfg.Shun.Shunned(e.ID, now) {
-			continue
-		}
-		held := r.cfg.Kept.Held(e.ID, weights, j.wall(), shared)
-		if held > most || held == most && held > 0 && e.FailureDomain == r.cfg.FailureDomain {
-			best, most = e, held
-		}
-	}
-	return best, most
-}
-
 func (j *job) choosePrompt(list []*site.Endpoint, work map[string]load.Work) choice {
 	shared := j.ask.Shared()
 	prompt := place.Prompt{Tokens: j.ask.PromptTokens, Rank: j.rank()}
@@ -267,10 +213,6 @@
 		// Nothing is shared: the request is spread by its own id.
 		prompt.Key = j.ask.ID
 	}
-	var source *site.Endpoint
-	if prompt.TransferRate = j.service.Engine.TransferRate; prompt.TransferRate > 0 {
-		source, prompt.Fetchable = j.source(j.view.ByService[j.serviceName], shared)
-	}
 	engines := make([]place.Engine, len(list))
 	waiting := 0.0
 	for i, e := range list {
@@ -287,11 +229,7 @@
 	}
 	c := place.Choose(prompt, engines, j.r.cfg.Look())
 	e := engines[c.Index]
-	out := choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), holds: e.Held >= prompt.Shared, weights: j.r.weights.of(list[c.Index], j.ask.Model), expect: c.FirstToken, waiting: waiting, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
-	if source != nil && !e.Old && prompt.Fetchable > e.Held {
-		out.source, out.read = source, max(0, prompt.Tokens-prompt.Fetchable)
-	}
-	return out
+	return choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), expect: c.FirstToken, waiting: waiting, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
 }
 
 // placed notes that the endpoint will hold the shared part of the prompt. Other
--- a/router/watch/roster.go
+++ b/router/watch/roster.go
@@ -69,6 +69,9 @@
 	return out
 }
 
+// holds reports whether entries are still listed that may be gone.
+func (r *roster) holds(now time.Duration) bool { return now < r.hold }
+
 // replace takes the whole list of another host, which has held what it had to.
 func (r *roster) replace(list map[string]*site.Endpoint, now time.Duration) []change {
 	r.hold = 0
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -278,10 +278,12 @@
 }
 
 // Roster returns the endpoints with their fingerprint and the start of the read.
+// While lapsed entries are held, it vouches for nothing: hosts that could read all
+// the time know better which endpoints have gone.
 func (w *Watcher) Roster() (list map[string]*site.Endpoint, fingerprint uint64, started time.Duration, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.cfg.Board.View().Endpoints, w.print, w.entries.started, w.entries.known && !w.entries.lost
+	return w.cfg.Board.View().Endpoints, w.print, w.entries.started, w.entries.known && !w.entries.lost && !w.roster.holds(w.cfg.Clock.Boot())
 }
 
 // HeardRoster takes the endpoints from another host; nil if they are those that
