--- a/router/hosted/hosted_test.go
+++ b/router/hosted/hosted_test.go
@@ -30,6 +30,7 @@
 	is.Equal(run.Header.Get("Authorization"), "") // the key stays here
 	is.Equal(run.Header.Get("X-Hold"), "")
 	is.Equal(run.Header.Get("X-Expect-Instance"), "i-1")
+	is.Equal(run.Header.Get("X-Cache-Salt"), "account-acme") // isolated accounts share nothing
 }
 
 func TestIsolatedAccountsShareNothing(t *testing.T) {
