Fetch shared parts, under a salt whose version the engine must have

Change: the salt names the version, and each request with such a salt carries X-Expect-Version; where an engine has refused a version, requests go without salt, fetch and save. A pause tells the version that is loaded, so hosts know it when the pause ends. The store gets each part once, with a prompt of little else: saves carry the whole prompt, and with all prompts it dropped parts within seconds.

The check of the salt of isolated accounts now wants account and version.

--- /dev/null
+++ b/core/coord/fetch/fetch.go
@@ -0,0 +1,103 @@
+// Package fetch decides from where an engine fetches the shared part of a prompt,
+// and whether a store keeps it.
+//
+// It answers new weights, after which all parts have to be read again, and bursts,
+// in which requests that share a part spread over many engines: one engine reads
+// the part, and the others fetch it. A store is sent whole prompts, so that it
+// would drop shared parts within seconds if all prompts went there: it gets each
+// part once, with a prompt that has little else.
+package fetch
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cicadastand.dev/core/state/site"
+)
+
+// Engine is an engine as a source.
+type Engine struct {
+	FailureDomain string
+	// Held is how many leading tokens of the shared part it is known to hold.
+	Held int
+	// Usable is set if it has the weights of the engine that fetches, and answers.
+	Usable bool
+}
+
+// Need is what is known of a request and its engine.
+type Need struct {
+	// Shared and Own are the tokens of the prompt that others have in common with
+	// it, and those that are its own.
+	Shared int
+	Own    int
+	// Target is the index of the engine that runs the request, Owner that of the
+	// engine where all hosts look for a part that nobody is known to hold.
+	Target int
+	Owner  int
+	// Engines are all that might hold the part.
+	Engines []Engine
+	// HasStore is set if a store is responsible for the part, Stored if it is known
+	// to hold it.
+	HasStore bool
+	Stored   bool
+	// Newest is set if the target has the newest weights.
+	Newest bool
+}
+
+// Decision is where the shared part comes from and goes to.
+type Decision struct {
+	// From is the index of the engine to fetch from; FromStore for the store, and
+	// Nowhere if nothing is fetched.
+	From int
+	// Save is set if the store is to keep the part.
+	Save bool
+}
+
+// The sources that are no engine.
+const (
+	FromStore = -1
+	Nowhere   = -2
+)
+
+// Decide returns the source with the most of the part, the nearest first. The
+// store is last: its link serves all engines.
+func Decide(n Need) Decision {
+	d := Decision{From: Nowhere, Save: n.HasStore && !n.Stored && n.Newest && n.Own <= n.Shared}
+	target := n.Engines[n.Target]
+	if target.Held >= n.Shared {
+		return d
+	}
+	best := target.Held
+	near := false
+	for i, e := range n.Engines {
+		if i == n.Target || !e.Usable || e.Held < best || e.Held == 0 {
+			continue
+		}
+		isNear := e.FailureDomain == target.FailureDomain
+		if e.Held > best || isNear && !near {
+			d.From, best, near = i, e.Held, isNear
+		}
+	}
+	if best >= n.Shared {
+		return d
+	}
+	switch {
+	case n.Stored:
+		d.From = FromStore
+	case d.From == Nowhere && n.Owner != n.Target && n.Engines[n.Owner].Usable:
+		d.From = n.Owner
+	}
+	return d
+}
+
+// Store returns the store that is responsible for the part with a key, by
+// rendezvous hashing; nil if there is none.
+func Store(key string, stores []*site.CacheStore) *site.CacheStore {
+	var best *site.CacheStore
+	most := uint64(0)
+	for _, s := range stores {
+		if score := xxhash.Sum64String(key + "@" + s.Address.String()); best == nil || score > most {
+			best, most = s, score
+		}
+	}
+	return best
+}
--- a/core/coord/pause/pause.go
+++ b/core/coord/pause/pause.go
@@ -15,8 +15,14 @@
 type Span struct {
 	From  time.Duration
 	Until time.Duration
+	// Weights is the version that the endpoint loads meanwhile.
+	Weights int
 }
 
+// memory is how long a pause that is over is remembered: by then the list of
+// endpoints shows the weights.
+const memory = 3 * time.Second
+
 // Table holds the pauses of endpoints. It is safe for concurrent use.
 //
 // Lock order: Table.mu is a leaf.
@@ -53,17 +59,29 @@
 	return ok && now >= s.From && now < s.Until
 }
 
+// Loaded returns the version that an endpoint should have loaded by now; 0 if no
+// pause of it has ended lately.
+func (t *Table) Loaded(endpoint string, now time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.by[endpoint]; now >= s.Until {
+		return s.Weights
+	}
+	return 0
+}
+
 // Current returns the pauses that have not ended.
 func (t *Table) Current(now time.Duration) map[string]Span {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make(map[string]Span, len(t.by))
 	for endpoint, s := range t.by {
-		if s.Until <= now {
+		if s.Until+memory <= now {
 			delete(t.by, endpoint)
-			continue
 		}
-		out[endpoint] = s
+		if s.Until > now {
+			out[endpoint] = s
+		}
 	}
 	return out
 }
--- a/core/coord/pause/pause_test.go
+++ b/core/coord/pause/pause_test.go
@@ -20,6 +20,17 @@
 	is.Equal(len(table.Current(20)), 0)
 }
 
+func TestWhatAPauseLoadsIsKnownOnceItIsOver(t *testing.T) {
+	is := is.New(t)
+	table := pause.New()
+	table.Plan("e", pause.Span{From: 10, Until: 20, Weights: 3})
+	is.Equal(table.Loaded("e", 19), 0)
+	is.Equal(table.Loaded("e", 20), 3)
+	is.Equal(table.Loaded("other", 20), 0)
+	table.Current(time.Minute) // long after, the list tells the weights
+	is.Equal(table.Loaded("e", time.Minute), 0)
+}
+
 // Load pattern: hubs tell each other of a pause again and again. If each word
 // counted, the pause would move on by the way of each message and never end.
 func TestThePauseDoesNotGrowWhileItIsTold(t *testing.T) {
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -30,6 +30,9 @@
 	runningCost = 200 * time.Microsecond
 	// overfullCost is the wait for one slot when all are taken.
 	overfullCost = 40 * time.Millisecond
+	// fetchFactor allows for the way between failure domains, which takes twice as
+	// long, and for other transfers on the same links.
+	fetchFactor = 3
 	// remoteCost is the way to another failure domain and back, and the price of
 	// the bytes.
 	remoteCost = 3 * time.Millisecond
@@ -44,6 +47,8 @@
 	Work load.Work
 	// Held is how many leading tokens of the shared part it is known to hold.
 	Held int
+	// Fetches is set if the engine can fetch the shared part from where it is kept.
+	Fetches bool
 	// Old is set if newer weights were named than the engine has.
 	Old bool
 	// Remote is set outside the host's own failure domain.
@@ -55,6 +60,9 @@
 	// Tokens is its length, Shared the part that other requests have in common.
 	Tokens int
 	Shared int
+	// TransferRate is how many tokens of cache arrive at an engine in a second; 0 if
+	// nothing can be fetched.
+	TransferRate float64
 	// Rank is its urgency: what is less urgent waits behind it.
 	Rank int
 	// Key names the deepest shared part; empty if there is none.
@@ -65,10 +73,14 @@
 type Choice struct {
 	// Index is that of the engine.
 	Index int
+	// Has is how much of the shared part the engine need not read.
+	Has int
 	// FirstToken is the expected time to the first token.
 	FirstToken time.Duration
-	// Home is set if the engine is the one that all hosts choose for the shared
-	// part while nobody holds it.
+	// Owner is the index of the engine that all hosts choose for the shared part
+	// while nobody holds it.
+	Owner int
+	// Home is set if the engine is the owner.
 	Home bool
 }
 
@@ -104,13 +116,13 @@
 			best, least = i, cost
 		}
 	}
-	return Choice{Index: best, FirstToken: FirstToken(p, engines[best]), Home: best == owner}
+	return Choice{Index: best, Has: p.has(engines[best]), FirstToken: FirstToken(p, engines[best]), Owner: owner, Home: best == owner}
 }
 
 // cost is the time to the first token, and what a second reading of the shared
 // part costs others. The owner counts as the holder while nobody is known to be.
 func (p Prompt) cost(e Engine, isHolder bool) time.Duration {
-	missed := p.Shared - e.Held
+	missed := p.Shared - p.has(e)
 	if isHolder {
 		missed = 0
 	}
@@ -124,13 +136,25 @@
 // wait is the time until the engine begins with the prompt.
 func (p Prompt) wait(e Engine) time.Duration { return FirstToken(Prompt{Rank: p.Rank}, e) }
 
+// has returns how many leading tokens of the shared part the engine need not read.
+func (p Prompt) has(e Engine) int {
+	if e.Fetches && p.TransferRate > 0 {
+		return p.Shared
+	}
+	return e.Held
+}
+
 func readTime(tokens float64, e Engine) time.Duration {
 	return time.Duration(tokens / e.Rate * float64(time.Second))
 }
 
 // FirstToken returns the time that an engine takes to the first token.
 func FirstToken(p Prompt, e Engine) time.Duration {
-	cost := readTime(float64(e.Work.Ahead(p.Rank)+max(0, p.Tokens-e.Held)), e)
+	has := p.has(e)
+	cost := readTime(float64(e.Work.Ahead(p.Rank)+max(0, p.Tokens-has)), e)
+	if has > e.Held {
+		cost += time.Duration(fetchFactor * float64(has-e.Held) / p.TransferRate * float64(time.Second))
+	}
 	cost += time.Duration(e.Work.Running) * runningCost
 	if over := e.Work.Requests() + 1 - e.Slots; over > 0 {
 		cost += time.Duration(over) * overfullCost
--- a/core/proto/call/call.go
+++ b/core/proto/call/call.go
@@ -2,7 +2,10 @@
 // how a protocol spells it.
 package call
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Ranks is the number of ranks of urgency, 0 first.
 const Ranks = 10
@@ -50,6 +53,14 @@
 	Left time.Duration
 	// Wall separates cached prompt parts; requests with another wall share none.
 	Wall string
+	// FetchFrom is an engine or a store from which cached prompt parts are fetched; the zero
+	// address for none.
+	FetchFrom netip.AddrPort
+	// SaveTo is the store to which the engine sends the parts that it reads; the
+	// zero address for none.
+	SaveTo netip.AddrPort
+	// Weights is the only version of the weights that may run the request; 0 for any.
+	Weights int
 	// Rank is the urgency at the endpoint, 0 first.
 	Rank int
 	// HasRank is false for endpoints that know no ranks.
--- a/core/state/kept/kept.go
+++ b/core/state/kept/kept.go
@@ -1,10 +1,11 @@
-// Package kept remembers which prompt parts each endpoint holds in its cache, as
-// far as this host's own requests show it.
+// Package kept remembers which prompt parts each endpoint and each store holds in
+// its cache, as far as requests show it.
 package kept
 
 import (
 	"container/list"
 	"sync"
+	"time"
 
 	"cicadastand.dev/core/proto/call"
 )
@@ -32,6 +33,8 @@
 	Parts []call.Part
 	// Capacity is the endpoint's cache in tokens.
 	Capacity int
+	// At is when the host learnt of it.
+	At time.Duration
 }
 
 type cache struct {
@@ -45,13 +48,15 @@
 type part struct {
 	key    string
 	tokens int
+	at     time.Duration
 }
 
 // New returns an index that knows of nothing.
 func New() *Index { return &Index{by: make(map[string]*cache)} }
 
-// Held returns how many leading tokens of a prompt the endpoint holds.
-func (x *Index) Held(endpoint string, weights int, wall string, parts []call.Part) int {
+// Held returns how many leading tokens of a prompt the endpoint holds, going by
+// what was learnt since a time.
+func (x *Index) Held(endpoint string, weights int, wall string, parts []call.Part, since time.Duration) int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	c := x.by[endpoint]
@@ -60,7 +65,8 @@
 	}
 	held := 0
 	for _, p := range parts {
-		if _, ok := c.parts[wall+"/"+p.ID]; !ok {
+		e, ok := c.parts[wall+"/"+p.ID]
+		if !ok || e.Value.(part).at < since {
 			break
 		}
 		held += p.Tokens
@@ -81,21 +87,22 @@
 		c = &cache{weights: p.Weights, order: list.New(), parts: make(map[string]*list.Element)}
 		x.by[p.Endpoint] = c
 	}
-	for _, part := range p.Parts {
-		c.add(p.Wall+"/"+part.ID, part.Tokens)
+	for _, in := range p.Parts {
+		c.add(part{key: p.Wall + "/" + in.ID, tokens: in.Tokens, at: p.At})
 	}
 	for c.tokens > int(capacityShare*float64(p.Capacity)) && c.order.Len() > 0 {
 		c.dropOldest()
 	}
 }
 
-func (c *cache) add(key string, tokens int) {
-	if e, ok := c.parts[key]; ok {
+func (c *cache) add(p part) {
+	if e, ok := c.parts[p.key]; ok {
+		e.Value = p
 		c.order.MoveToFront(e)
 		return
 	}
-	c.parts[key] = c.order.PushFront(part{key: key, tokens: tokens})
-	c.tokens += tokens
+	c.parts[p.key] = c.order.PushFront(p)
+	c.tokens += p.tokens
 }
 
 func (c *cache) dropOldest() {
--- a/core/state/kept/kept_test.go
+++ b/core/state/kept/kept_test.go
@@ -20,21 +20,21 @@
 	is := is.New(t)
 	x := kept.New()
 	x.Add(placement(1, ""))
-	is.Equal(x.Held("e", 1, "", chain), 150)
-	is.Equal(x.Held("e", 1, "", []call.Part{{ID: "a", Tokens: 100}, {ID: "z", Tokens: 9}, {ID: "b", Tokens: 50}}), 100)
-	is.Equal(x.Held("other", 1, "", chain), 0)
+	is.Equal(x.Held("e", 1, "", chain, 0), 150)
+	is.Equal(x.Held("e", 1, "", []call.Part{{ID: "a", Tokens: 100}, {ID: "z", Tokens: 9}, {ID: "b", Tokens: 50}}, 0), 100)
+	is.Equal(x.Held("other", 1, "", chain, 0), 0)
 }
 
 func TestWallsAndWeightsKeepPartsApart(t *testing.T) {
 	is := is.New(t)
 	x := kept.New()
 	x.Add(placement(1, "account-a"))
-	is.Equal(x.Held("e", 1, "", chain), 0)
-	is.Equal(x.Held("e", 2, "account-a", chain), 0)
+	is.Equal(x.Held("e", 1, "", chain, 0), 0)
+	is.Equal(x.Held("e", 2, "account-a", chain, 0), 0)
 	x.Add(placement(2, ""))
-	is.Equal(x.Held("e", 2, "", chain), 150)
+	is.Equal(x.Held("e", 2, "", chain, 0), 150)
 	x.Add(placement(1, "account-a")) // told late, of weights that are gone
-	is.Equal(x.Held("e", 2, "", chain), 150)
+	is.Equal(x.Held("e", 2, "", chain, 0), 150)
 }
 
 func TestTheLeastRecentlyUsedPartsGo(t *testing.T) {
@@ -43,8 +43,8 @@
 	for _, id := range []string{"a", "b", "c", "a", "d"} {
 		x.Add(kept.Placement{Endpoint: "e", Parts: []call.Part{{ID: id, Tokens: 10}}, Capacity: 60})
 	}
-	is.Equal(x.Held("e", 0, "", []call.Part{{ID: "a", Tokens: 10}}), 10)
-	is.Equal(x.Held("e", 0, "", []call.Part{{ID: "b", Tokens: 10}}), 0)
+	is.Equal(x.Held("e", 0, "", []call.Part{{ID: "a", Tokens: 10}}, 0), 10)
+	is.Equal(x.Held("e", 0, "", []call.Part{{ID: "b", Tokens: 10}}, 0), 0)
 }
 
 func TestNewsGoesOnceToEachReader(t *testing.T) {
--- a/core/state/site/site.go
+++ b/core/state/site/site.go
@@ -75,7 +75,10 @@
 	Slots int
 	// CacheTokens is the memory for running requests and cached prompt parts.
 	CacheTokens int
-	Models      []string
+	// TransferRate is how many tokens of cache an engine sends to another one in a
+	// second; 0 if they send none.
+	TransferRate float64
+	Models       []string
 }
 
 // Service is a set of endpoints that answer alike.
@@ -86,6 +89,15 @@
 	MaxConnections int
 	// Engine is nil unless the endpoints run models.
 	Engine *Engine
+	// CacheStore keeps prompt parts for engines; nil unless the service is such a store.
+	CacheStore *CacheStore
+}
+
+// CacheStore is a store of prompt parts.
+type CacheStore struct {
+	Address netip.AddrPort
+	// CacheTokens is its capacity.
+	CacheTokens int
 }
 
 // Account is a client account.
@@ -111,6 +123,8 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
+	// CacheStores are the stores of prompt parts.
+	CacheStores []*CacheStore
 
 	accounts    map[string]*Account
 	hasAccounts bool
@@ -145,6 +159,9 @@
 	}
 	for _, s := range p.Services {
 		c.Services[s.Name] = s
+		if s.CacheStore != nil {
+			c.CacheStores = append(c.CacheStores, s.CacheStore)
+		}
 	}
 	for _, r := range p.Routes {
 		host := strings.ToLower(r.Host)
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -26,6 +26,7 @@
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kept"
 	"cicadastand.dev/core/state/sight"
+	"cicadastand.dev/core/state/site"
 	"cicadastand.dev/core/trans/dials"
 	"cicadastand.dev/core/trans/httpd"
 	"cicadastand.dev/platform"
@@ -349,7 +350,7 @@
 			view := h.board.View()
 			known := func(id string) bool { return view.Endpoints[id] != nil }
 			h.hop.Sweep(func(t hop.Target) bool { return known(t.Incarnation) })
-			h.kept.Keep(known)
+			h.kept.Keep(func(id string) bool { return known(id) || isStore(view.Config, id) })
 			h.shun.Keep(known)
 			h.relay.Keep(known)
 		case <-ctx.Done():
@@ -358,6 +359,11 @@
 	}
 }
 
+// isStore reports whether a holder of prompt parts is a store.
+func isStore(c *site.Config, holder string) bool {
+	return c != nil && lo.ContainsBy(c.CacheStores, func(s *site.CacheStore) bool { return s.Address.String() == holder })
+}
+
 // Reload reads the platform's settings again. Addresses and bounds hold until
 // the next start.
 func (h *Host) Reload(path string) {
--- a/router/hosted/hosted_test.go
+++ b/router/hosted/hosted_test.go
@@ -39,7 +39,57 @@
 	engine := r.endpoint("i-1", "engines", "zone-0", model.Config{Name: "m", Events: 1})
 	r.started()
 	is.Equal(r.ask(r.hosts[0], "POST", "/chat/", "r1", "key", "x").status, 200)
-	is.Equal(engine.Runs()[0].Header.Get("X-Cache-Salt"), "account-acme")
+	is.Equal(engine.Runs()[0].Header.Get("X-Cache-Salt"), "account-acme/v1")
+}
+
+// An engine that fetches or keeps a cached part checks no version. So no request
+// may run under a salt of other weights, though a host believes an old entry.
+func TestCachedPartsNeverCrossVersions(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	changed := r.endpoint("i-1", "engines", "zone-0", model.Config{Name: "m", Events: 1})
+	r.endpoint("i-2", "engines", "zone-0", model.Config{Name: "m", Events: 1})
+	r.started()
+	changed.Load(2)
+	for n := range 12 {
+		is.Equal(r.ask(r.hosts[0], "POST", "/chat/", fmt.Sprint("r", n), "key", "x").status, 200)
+	}
+	salted := 0
+	for _, s := range r.servers {
+		for _, run := range s.Runs() {
+			salt, only := run.Header.Get("X-Cache-Salt"), run.Header.Get("X-Expect-Version")
+			_, version, named := strings.Cut(salt, "/v")
+			is.Equal(only, version) // the version in the salt and the one expected go together
+			if named {
+				salted++
+				is.Equal(version, fmt.Sprint(run.Version))
+				continue
+			}
+			is.Equal(run.Header.Get("X-Kv-Fetch-From"), "")
+			is.Equal(run.Header.Get("X-Kv-Save-To"), "")
+		}
+	}
+	is.True(salted > 0)
+}
+
+func TestASharedPartIsKeptOnceAndThenFetched(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	for _, id := range []string{"i-1", "i-2"} {
+		r.endpoint(id, "engines", "zone-0", model.Config{Name: "m", Events: 1})
+	}
+	r.started()
+	is.Equal(r.ask(r.hosts[0], "POST", "/chat/", "r1", "key", "x").status, 200)
+	first, second := r.servers["i-1"], r.servers["i-2"]
+	if len(first.Runs()) == 0 {
+		first, second = second, first
+	}
+	is.Equal(first.Runs()[0].Header.Get("X-Kv-Save-To"), "127.0.0.1:9")
+	first.Behave(func(*http.Request) model.Fate { return model.Full })
+	is.Equal(r.ask(r.hosts[0], "POST", "/chat/", "r2", "key", "x").status, 200)
+	run := second.Runs()[0]
+	is.Equal(run.Header.Get("X-Kv-Fetch-From"), "127.0.0.1:9") // the engine that read it is full
+	is.Equal(run.Header.Get("X-Kv-Save-To"), "")
 }
 
 func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
--- a/router/hosted/rig_test.go
+++ b/router/hosted/rig_test.go
@@ -154,8 +154,9 @@
 			route("lookup", "idempotent", "shop", 2),
 		},
 		"services": []any{
-			map[string]any{"name": "engines", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "models": []any{map[string]any{"name": "m"}}}},
+			map[string]any{"name": "engines", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "token_kv_bytes": 327680, "link_mbps": 1100000, "models": []any{map[string]any{"name": "m"}}}},
 			map[string]any{"name": "shop"},
+			map[string]any{"name": "store", "kv_store_address": "127.0.0.1:9", "kv_capacity": 1000000},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": "acme", "api_keys": keys, "isolated": true}},
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
+	"strconv"
 	"time"
 
 	"cicadastand.dev/core/coord/early"
+	"cicadastand.dev/core/coord/fetch"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/proto/call"
@@ -35,6 +38,14 @@
 	endpoint *site.Endpoint
 	// read is how many tokens of the prompt it has to read.
 	read int
+	// weights is the version that the endpoint is believed to have, and firm set if
+	// nothing speaks against it.
+	weights int
+	firm    bool
+	// source is where the endpoint fetches the shared part from, and store where it
+	// sends what it reads; nil for nowhere.
+	source netip.AddrPort
+	store  *site.CacheStore
 	// expect is the time to the first token.
 	expect time.Duration
 	// waiting is how many requests wait for each engine, on average.
@@ -56,6 +67,7 @@
 	if fault != nil {
 		return false, fault
 	}
+	j.chosen = c
 	if j.isModel() {
 		if ok, wait := early.Decide(j.demand(c)); !ok {
 			return false, refuse(http.StatusServiceUnavailable, wait, "first token is expected in %d ms, and %.1f requests wait for each engine", c.expect.Milliseconds(), c.waiting)
@@ -73,11 +85,11 @@
 	j.ran++
 	j.endpoint = c.endpoint.ID
 	j.tried[c.endpoint.ID] = true
-	j.placed(c, r.weights.of(c.endpoint, j.ask.Model))
+	j.placed(c, c.weights)
 	ticket := r.cfg.Loads.Begin(c.endpoint.ID, j.rank(), c.read)
 	defer ticket.End()
 	sent := r.cfg.Clock.Now()
-	reply, err := r.cfg.Hop.Send(ctx, hop.Target{Incarnation: c.endpoint.ID, Address: c.endpoint.Address}, j.message(c.endpoint, left), j.isOwn)
+	reply, err := r.cfg.Hop.Send(ctx, hop.Target{Incarnation: c.endpoint.ID, Address: c.endpoint.Address}, j.message(c, left), j.isOwn)
 	if err != nil {
 		return j.sendFailed(ctx, c, err)
 	}
@@ -104,9 +116,9 @@
 	return got == id || got == ""
 }
 
-func (j *job) message(e *site.Endpoint, left time.Duration) hop.Message {
+func (j *job) message(c choice, left time.Duration) hop.Message {
 	send := call.Send{
-		Incarnation: e.ID,
+		Incarnation: c.endpoint.ID,
 		Left:        left,
 		Wall:        j.wall(),
 		LastEvent:   max(j.lastEvent, j.ask.LastEvent),
@@ -116,6 +128,7 @@
 	}
 	if j.isModel() {
 		send.HasRank, send.Rank = true, j.rank()
+		j.setCache(&send, c)
 	}
 	return hop.Message{
 		ID:     j.ask.ID,
@@ -128,6 +141,20 @@
 	}
 }
 
+// setCache lets the engine fetch what it lacks and keep what it reads. Engines
+// check neither version nor account of a cached part: so the salt names both, and
+// a request with a version in its salt runs on no other.
+func (j *job) setCache(send *call.Send, c choice) {
+	if !c.firm {
+		return
+	}
+	send.Wall = j.wall() + "/v" + strconv.Itoa(c.weights)
+	send.Weights, send.FetchFrom = c.weights, c.source
+	if c.store != nil {
+		send.SaveTo = c.store.Address
+	}
+}
+
 // isModel reports whether the request is a generation.
 func (j *job) isModel() bool { return j.service != nil && j.service.Engine != nil }
 
@@ -199,6 +226,7 @@
 }
 
 func (j *job) choosePrompt(list []*site.Endpoint, work map[string]load.Work) choice {
+	now := j.r.cfg.Clock.Boot()
 	shared := j.ask.Shared()
 	prompt := place.Prompt{Tokens: j.ask.PromptTokens, Rank: j.rank()}
 	for _, p := range shared {
@@ -213,23 +241,69 @@
 		// Nothing is shared: the request is spread by its own id.
 		prompt.Key = j.ask.ID
 	}
+	if prompt.Shared > 0 {
+		prompt.TransferRate = j.service.Engine.TransferRate
+	}
 	engines := make([]place.Engine, len(list))
+	known := make([]belief, len(list))
 	waiting := 0.0
 	for i, e := range list {
 		waiting += float64(work[e.ID].Waiting) / float64(len(list))
+		known[i] = j.r.belief(e, j.ask.Model)
 		engines[i] = place.Engine{
-			ID:     e.ID,
-			Slots:  e.Slots,
-			Rate:   j.r.speed.rate(e.ID),
-			Work:   work[e.ID],
-			Held:   j.r.cfg.Kept.Held(e.ID, j.r.weights.of(e, j.ask.Model), j.wall(), shared),
-			Old:    j.r.weights.of(e, j.ask.Model) < j.view.Newest(j.ask.Model),
-			Remote: e.FailureDomain != j.r.cfg.FailureDomain,
+			ID:      e.ID,
+			Slots:   e.Slots,
+			Rate:    j.r.speed.rate(e.ID),
+			Work:    work[e.ID],
+			Held:    j.r.cfg.Kept.Held(e.ID, known[i].version, j.wall(), shared, now-sourceMemory),
+			Fetches: known[i].firm,
+			Old:     known[i].version < j.view.Newest(j.ask.Model),
+			Remote:  e.FailureDomain != j.r.cfg.FailureDomain,
 		}
 	}
 	c := place.Choose(prompt, engines, j.r.cfg.Look())
-	e := engines[c.Index]
-	return choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-e.Held), expect: c.FirstToken, waiting: waiting, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
+	e, k := engines[c.Index], known[c.Index]
+	out := choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-c.Has), weights: k.version, firm: k.firm, expect: c.FirstToken, waiting: waiting, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
+	if k.firm {
+		j.setSource(&out, prompt, c, engines, list, known)
+	}
+	return out
+}
+
+// sourceMemory is how long an engine or a store is taken to hold a part: in a
+// burst the least recently used parts go within some seconds.
+const sourceMemory = 8 * time.Second
+
+// setSource decides from where the shared part is fetched and where it is kept.
+func (j *job) setSource(out *choice, p place.Prompt, c place.Choice, engines []place.Engine, list []*site.Endpoint, known []belief) {
+	if p.Shared == 0 || p.TransferRate <= 0 {
+		return
+	}
+	r := j.r
+	now := r.cfg.Clock.Boot()
+	n := fetch.Need{Shared: p.Shared, Own: p.Tokens - p.Shared, Target: c.Index, Owner: c.Owner, Newest: !engines[c.Index].Old}
+	for i, e := range engines {
+		n.Engines = append(n.Engines, fetch.Engine{
+			FailureDomain: list[i].FailureDomain,
+			Held:          e.Held,
+			Usable:        known[i].firm && known[i].version == out.weights,
+		})
+	}
+	store := fetch.Store(p.Key, j.view.Config.CacheStores)
+	if store != nil {
+		n.HasStore = true
+		n.Stored = r.cfg.Kept.Held(store.Address.String(), out.weights, j.wall(), j.ask.Shared(), now-sourceMemory) >= p.Shared
+	}
+	d := fetch.Decide(n)
+	switch {
+	case d.From == fetch.FromStore:
+		out.source = store.Address
+	case d.From >= 0:
+		out.source = list[d.From].Address
+	}
+	if d.Save {
+		out.store = store
+	}
 }
 
 // placed notes that the endpoint will hold the shared part of the prompt. Other
@@ -238,25 +312,44 @@
 	if !j.isModel() {
 		return
 	}
-	p := kept.Placement{
-		Endpoint: c.endpoint.ID,
-		Weights:  weights,
-		Wall:     j.wall(),
-		Parts:    j.ask.Shared(),
-		Capacity: j.service.Engine.CacheTokens,
-	}
+	p := j.placement(c.endpoint.ID, weights, j.service.Engine.CacheTokens)
 	j.r.cfg.Kept.Add(p)
 	if !c.home {
 		j.r.cfg.News.Announce(p, func(string) bool { return true })
 	}
 }
 
+// stored notes that a store holds the shared part of the prompt, and tells others.
+func (j *job) stored(c choice) {
+	if c.store == nil {
+		return
+	}
+	p := j.placement(c.store.Address.String(), c.weights, c.store.CacheTokens)
+	j.r.cfg.Kept.Add(p)
+	j.r.cfg.News.Announce(p, func(string) bool { return true })
+}
+
+// placement says that an endpoint or a store holds the shared part of the prompt.
+func (j *job) placement(holder string, weights, capacity int) kept.Placement {
+	return kept.Placement{
+		Endpoint: holder,
+		Weights:  weights,
+		Wall:     j.wall(),
+		Parts:    j.ask.Shared(),
+		Capacity: capacity,
+		At:       j.r.cfg.Clock.Boot(),
+	}
+}
+
 // receive takes the endpoint's answer.
 func (j *job) receive(ctx context.Context, c choice, reply *hop.Reply, ticket *load.Ticket, sent time.Time) (again bool, fault *rejection) {
 	r := j.r
 	a := r.cfg.Codec.Answer(reply.Header)
 	if a.NotRun || reply.Status == http.StatusMisdirectedRequest {
 		j.drain(reply)
+		if reply.Status == http.StatusMisdirectedRequest && c.firm {
+			r.weights.refuted(c.endpoint.ID, c.weights)
+		}
 		j.ran--
 		r.cfg.Shun.Refused(c.endpoint.ID, r.cfg.Clock.Boot(), refusedPause)
 		return true, refuse(http.StatusServiceUnavailable, retryBusy, "endpoint %s did not run the request: status %d", c.endpoint.ID, reply.Status)
@@ -264,7 +357,7 @@
 	if j.r.cfg.Shun.Succeeded(c.endpoint.ID) {
 		j.r.cfg.Logger.Info("endpoint answers again", "id", j.ask.ID, "endpoint", c.endpoint.ID)
 	}
-	if a.Weights > r.weights.of(c.endpoint, j.ask.Model) {
+	if a.Weights > c.weights {
 		r.weights.answered(c.endpoint.ID, a.Weights)
 		j.placed(c, a.Weights)
 	}
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -55,6 +56,8 @@
 	ran      int
 	tried    map[string]bool
 	endpoint string
+	// chosen is the last choice of an endpoint.
+	chosen choice
 	// last is an answer that an endpoint gave and that is kept in case no better comes.
 	last *answer
 	// begun is set once a part of an answer is on its way to the client.
@@ -275,6 +278,10 @@
 	if j.account != nil {
 		args = append(args, "account", j.account.Name)
 	}
+	if j.isModel() && j.chosen.endpoint != nil {
+		args = append(args, "rank", j.rank(), "tokens", j.chosen.read, "ahead", j.chosen.ahead, "waiting", math.Round(10*j.chosen.waiting)/10,
+			"expect-ms", j.chosen.expect.Milliseconds(), "weights", j.chosen.weights, "fetch", j.chosen.source.IsValid(), "save", j.chosen.store != nil)
+	}
 	if j.firstByte > 0 {
 		args = append(args, "first-ms", j.firstByte.Milliseconds())
 	}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -100,6 +100,7 @@
 		if first {
 			first = false
 			ticket.Started()
+			j.stored(c)
 			j.learn(c, sent)
 		}
 		if err := j.event(reply, event); err != nil {
--- a/router/relay/weights.go
+++ b/router/relay/weights.go
@@ -13,15 +13,40 @@
 type weights struct {
 	mu sync.Mutex
 	by map[string]int
+	// wrong is a version that an engine turned out not to have.
+	wrong map[string]int
 }
 
-func newWeights() *weights { return &weights{by: make(map[string]int)} }
+func newWeights() *weights {
+	return &weights{by: make(map[string]int), wrong: make(map[string]int)}
+}
+
+// belief is the version that an engine is taken to have.
+type belief struct {
+	version int
+	// firm is false if the engine has refused it, or none is known.
+	firm bool
+}
 
-// of returns the version that an engine has, by the newest word of it.
-func (w *weights) of(e *site.Endpoint, model string) int {
+// belief returns the version that an engine has by the newest word of it: its
+// entry, its answers, or the end of a pause in which it was to load another one.
+func (r *Relay) belief(e *site.Endpoint, model string) belief {
+	loaded := r.cfg.Pauses.Loaded(e.ID, r.cfg.Clock.Boot())
+	w := r.weights
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return max(e.Weights[model], w.by[e.ID])
+	version, wrong := max(e.Weights[model], w.by[e.ID]), w.wrong[e.ID]
+	if loaded > version && loaded != wrong {
+		version = loaded
+	}
+	return belief{version: version, firm: version > 0 && version != wrong}
+}
+
+// refuted notes that an engine does not have a version.
+func (w *weights) refuted(endpoint string, version int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wrong[endpoint] = version
 }
 
 func (w *weights) answered(endpoint string, version int) {
@@ -41,6 +66,11 @@
 			delete(r.weights.by, id)
 		}
 	}
+	for id := range r.weights.wrong {
+		if !known(id) {
+			delete(r.weights.wrong, id)
+		}
+	}
 }
 
 // queueMargin is the time that a request may wait at an engine before it begins.
@@ -52,7 +82,7 @@
 	now := r.cfg.Clock.Boot()
 	var out []*site.Endpoint
 	for _, e := range list {
-		at, replaced := view.Replaced(model, r.weights.of(e, model))
+		at, replaced := view.Replaced(model, r.belief(e, model).version)
 		if !replaced || now-at < r.cfg.OldWeights-queueMargin {
 			out = append(out, e)
 		}
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -64,7 +64,7 @@
 func (s *Service) pauses() []*loadpb.Pause {
 	now := s.cfg.Clock.Boot()
 	return lo.MapToSlice(s.cfg.Pauses.Current(now), func(id string, p pause.Span) *loadpb.Pause {
-		return &loadpb.Pause{Endpoint: id, FromMs: int32((p.From - now).Milliseconds()), UntilMs: int32((p.Until - now).Milliseconds())}
+		return &loadpb.Pause{Endpoint: id, FromMs: int32((p.From - now).Milliseconds()), UntilMs: int32((p.Until - now).Milliseconds()), Weights: uint32(p.Weights)}
 	})
 }
 
@@ -72,8 +72,9 @@
 	now := s.cfg.Clock.Boot()
 	for _, p := range in {
 		s.cfg.Pauses.Heard(p.GetEndpoint(), pause.Span{
-			From:  now + time.Duration(p.GetFromMs())*time.Millisecond,
-			Until: now + time.Duration(p.GetUntilMs())*time.Millisecond,
+			From:    now + time.Duration(p.GetFromMs())*time.Millisecond,
+			Until:   now + time.Duration(p.GetUntilMs())*time.Millisecond,
+			Weights: int(p.GetWeights()),
 		}, now)
 	}
 }
@@ -90,12 +91,13 @@
 	}
 }
 
-func placementFrom(p *loadpb.Placement) kept.Placement {
+func placementFrom(p *loadpb.Placement, now time.Duration) kept.Placement {
 	return kept.Placement{
 		Endpoint: p.GetEndpoint(),
 		Weights:  int(p.GetWeights()),
 		Wall:     p.GetWall(),
 		Capacity: int(p.GetCapacity()),
+		At:       now,
 		Parts: lo.Map(p.GetParts(), func(part *loadpb.Part, _ int) call.Part {
 			return call.Part{ID: part.GetId(), Tokens: int(part.GetTokens())}
 		}),
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -260,7 +260,7 @@
 	s.takePauses(in.GetPauses())
 	s.takeSuspects(in.GetSuspects())
 	for _, p := range in.GetPlacements() {
-		s.cfg.Kept.Add(placementFrom(p))
+		s.cfg.Kept.Add(placementFrom(p, now))
 	}
 	if m := in.GetPublished(); m.GetKnown() {
 		s.cfg.Reads.HeardPublished(m.GetNext(), sent-age(m))
@@ -295,7 +295,7 @@
 	s.takeSuspects(in.GetSuspects())
 	s.takePauses(in.GetPauses())
 	for _, m := range in.GetPlacements() {
-		p := placementFrom(m)
+		p := placementFrom(m, now)
 		s.cfg.Kept.Add(p)
 		if !s.cfg.Hubs.IsMesh() {
 			s.pass(p, in)
--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -148,7 +148,7 @@
 // pause plans the pauses that orders need, and tells peers at once.
 func (r *Runner) pause(ctx context.Context, next []plan.Step) {
 	for _, s := range next {
-		r.cfg.Pauses.Plan(s.Endpoint.ID, pause.Span{From: s.At - beginTime, Until: s.At + s.Load + endTime})
+		r.cfg.Pauses.Plan(s.Endpoint.ID, pause.Span{From: s.At - beginTime, Until: s.At + s.Load + endTime, Weights: s.Version})
 	}
 	if len(next) > 0 {
 		r.cfg.Announce(ctx)
--- a/stand/model/model.go
+++ b/stand/model/model.go
@@ -163,11 +163,23 @@
 	}
 }
 
+// Load changes the weights without an order, so that nobody has heard of it.
+func (e *Endpoint) Load(version int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version = version
+}
+
 func (e *Endpoint) request(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
+	if want := r.Header.Get("X-Expect-Version"); want != "" && want != strconv.Itoa(e.Version()) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	e.mu.Lock()
 	fate := Answer
 	if e.behave != nil {
