Let the hub of a failure domain place the requests of its hosts

Cause: within 60 ms all hosts send to the engine that seems idle to all of them. Change: a host asks its hub, one call within the domain; the hub decides by the same costs and counts each decision in the next. A hub that does not answer in 25 ms is passed over, and hosts decide themselves as before.

--- a/core/coord/load/load.go
+++ b/core/coord/load/load.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +55,9 @@
 	mu          sync.Mutex
 	own         map[string]Work
 	peers       map[string]peer
+	// reserved are requests that hosts of the domain were told where to send, and
+	// that their own word does not show yet.
+	reserved []reservation
 }
 
 // Scope says whose work a word is about.
@@ -75,6 +79,14 @@
 	work  map[string]Work
 }
 
+// reservation is one request that is about to be sent.
+type reservation struct {
+	host     string
+	endpoint string
+	work     Work
+	until    time.Duration
+}
+
 // New returns an empty table that forgets a peer after a time without word of it.
 func New(forgetAfter time.Duration) *Table {
 	return &Table{forgetAfter: forgetAfter, own: make(map[string]Work), peers: make(map[string]peer)}
@@ -167,6 +179,38 @@
 	return t.sum(now, func(_ string, p peer) bool { return p.scope == Member })
 }
 
+// Reserve notes that a host was told to send a request to an endpoint, until the
+// host's own word shows it.
+func (t *Table) Reserve(host, endpoint string, rank, tokens int, until time.Duration) {
+	r := reservation{host: host, endpoint: endpoint, work: Work{Waiting: 1}, until: until}
+	r.work.Tokens[rank] = tokens
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reserved = append(t.reserved, r)
+}
+
+// Of returns the work of all hosts at some endpoints.
+func (t *Table) Of(endpoints []string, now time.Duration) []Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	out := make([]Work, len(endpoints))
+	for i, e := range endpoints {
+		out[i] = t.own[e]
+		for _, p := range t.peers {
+			if w, ok := p.work[e]; ok {
+				out[i] = out[i].Add(w)
+			}
+		}
+		for _, r := range t.reserved {
+			if r.endpoint == e {
+				out[i] = out[i].Add(r.work)
+			}
+		}
+	}
+	return out
+}
+
 func (t *Table) sum(now time.Duration, counts func(string, peer) bool) map[string]Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,6 +224,11 @@
 			sum[endpoint] = sum[endpoint].Add(w)
 		}
 	}
+	for _, r := range t.reserved {
+		if counts(r.host, peer{scope: Member}) {
+			sum[r.endpoint] = sum[r.endpoint].Add(r.work)
+		}
+	}
 	return sum
 }
 
@@ -189,4 +238,5 @@
 			delete(t.peers, host)
 		}
 	}
+	t.reserved = slices.DeleteFunc(t.reserved, func(r reservation) bool { return now >= r.until })
 }
--- a/core/coord/load/load_test.go
+++ b/core/coord/load/load_test.go
@@ -58,3 +58,19 @@
 	table.Left("a")
 	is.Equal(len(table.At(0)), 0)
 }
+
+// Load pattern: in the 60 ms between two words of a host, a hub places some
+// requests for it, and must count each of them for the next.
+func TestAReservationCountsUntilTheHostsOwnWordShowsIt(t *testing.T) {
+	is := is.New(t)
+	table := load.New(time.Second)
+	table.Reserve("a", "e", 2, 1000, 75*time.Millisecond)
+	at := func(now time.Duration) load.Work { return table.Of([]string{"e"}, now)[0] }
+	is.Equal(at(0).Waiting, 1)
+	is.Equal(at(0).Ahead(2), 1000)
+	is.Equal(at(0).Ahead(1), 0)
+	is.Equal(table.At(0)["e"].Waiting, 1)
+	is.Equal(table.Without("a", 0)["e"].Waiting, 0) // the host knows its own
+	is.Equal(table.Without("b", 0)["e"].Waiting, 1)
+	is.Equal(at(75*time.Millisecond).Waiting, 0)
+}
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -75,6 +75,8 @@
 	Index int
 	// Has is how much of the shared part the engine need not read.
 	Has int
+	// Ahead is how many tokens are read before the prompt.
+	Ahead int
 	// FirstToken is the expected time to the first token.
 	FirstToken time.Duration
 	// Owner is the index of the engine that all hosts choose for the shared part
@@ -93,10 +95,7 @@
 func Choose(p Prompt, engines []Engine, look int) Choice {
 	ranked := rank(p.Key, engines)
 	owner := ranked[0]
-	held := 0
-	for _, e := range engines {
-		held = max(held, e.Held)
-	}
+	held := mostHeld(engines)
 	best, least, seen := owner, time.Duration(math.MaxInt64), 0
 	for at, i := range ranked {
 		e := engines[i]
@@ -116,7 +115,7 @@
 			best, least = i, cost
 		}
 	}
-	return Choice{Index: best, Has: p.has(engines[best]), FirstToken: FirstToken(p, engines[best]), Owner: owner, Home: best == owner}
+	return Choice{Index: best, Has: p.has(engines[best]), Ahead: engines[best].Work.Ahead(p.Rank), FirstToken: FirstToken(p, engines[best]), Owner: owner, Home: best == owner}
 }
 
 // cost is the time to the first token, and what a second reading of the shared
@@ -134,7 +133,7 @@
 }
 
 // wait is the time until the engine begins with the prompt.
-func (p Prompt) wait(e Engine) time.Duration { return FirstToken(Prompt{Rank: p.Rank}, e) }
+func (p Prompt) wait(e Engine) time.Duration { return Wait(e, p.Rank) }
 
 // has returns how many leading tokens of the shared part the engine need not read.
 func (p Prompt) has(e Engine) int {
@@ -151,20 +150,34 @@
 // FirstToken returns the time that an engine takes to the first token.
 func FirstToken(p Prompt, e Engine) time.Duration {
 	has := p.has(e)
-	cost := readTime(float64(e.Work.Ahead(p.Rank)+max(0, p.Tokens-has)), e)
+	cost := readTime(float64(max(0, p.Tokens-has)), e) + Wait(e, p.Rank)
 	if has > e.Held {
 		cost += time.Duration(fetchFactor * float64(has-e.Held) / p.TransferRate * float64(time.Second))
 	}
+	if e.Remote {
+		cost += remoteCost
+	}
+	return cost
+}
+
+// Wait returns the time until an engine begins with a new request of a rank.
+func Wait(e Engine, rank int) time.Duration {
+	cost := readTime(float64(e.Work.Ahead(rank)), e)
 	cost += time.Duration(e.Work.Running) * runningCost
 	if over := e.Work.Requests() + 1 - e.Slots; over > 0 {
 		cost += time.Duration(over) * overfullCost
 	}
-	if e.Remote {
-		cost += remoteCost
-	}
 	return cost
 }
 
+func mostHeld(engines []Engine) int {
+	held := 0
+	for _, e := range engines {
+		held = max(held, e.Held)
+	}
+	return held
+}
+
 // rank returns the indices of the engines in the order that rendezvous hashing
 // gives them for a key. All hosts agree on it without exchanging anything.
 func rank(key string, engines []Engine) []int {
--- /dev/null
+++ b/core/coord/place/query_test.go
@@ -0,0 +1,96 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/place"
+)
+
+// burst replays the load of one failure domain in the burst of a large site: 22
+// hosts send to 24 engines 900 requests a second of 2,200 tokens, as much as the
+// engines read. It returns the longest queue of an engine, in tokens. Hosts learn
+// each 60 ms of what others have sent.
+func burst(byHub bool) int {
+	const (
+		hosts, engines = 22, 24
+		tokens         = 2200
+		rate           = 90 // tokens a millisecond
+		gap            = 1111 * time.Microsecond
+		interval       = 60 * time.Millisecond
+		requests       = 2000
+	)
+	var queue, told [engines]int
+	own := make([][engines]int, hosts)
+	longest := 0
+	for n := range requests {
+		now := time.Duration(n) * gap
+		if now%interval < gap {
+			told, own = queue, make([][engines]int, hosts)
+		}
+		for e := range queue {
+			queue[e] = max(0, queue[e]-rate*int(gap/time.Microsecond)/1000)
+		}
+		host := n * 7 % hosts
+		list := make([]place.Engine, engines)
+		for e := range list {
+			list[e] = place.Engine{ID: fmt.Sprint("e", e), Slots: 32, Rate: rate * 1000, Fetches: true}
+			list[e].Work.Tokens[0] = told[e] + own[host][e]
+		}
+		p := place.Prompt{Tokens: tokens, Shared: 500, Key: fmt.Sprint("part", n*n%800), TransferRate: 400_000}
+		var index int
+		if byHub {
+			q := place.Ask(p, list)
+			var work []load.Work
+			for _, c := range q.Candidates {
+				w := load.Work{}
+				w.Tokens[0] = queue[c.Index]
+				work = append(work, w)
+			}
+			index = place.Result(p, list, q, place.Decide(q, work)).Index
+		} else {
+			index = place.Choose(p, list, 3).Index
+		}
+		queue[index] += tokens
+		own[host][index] += tokens
+		longest = max(longest, queue[index])
+	}
+	return longest
+}
+
+// Load pattern: a burst, in which each host sends to the engines that seem idle to
+// all hosts. In a play such an engine had a queue of 66k tokens, with 14k known.
+func TestAHubKeepsHostsFromMeetingAtOneEngine(t *testing.T) {
+	is := is.New(t)
+	alone, hub := burst(false), burst(true)
+	t.Logf("longest queue: hosts alone %d tokens, by a hub %d", alone, hub)
+	const inTime = 30_000 // 330 ms of reading: urgent prompts behind it are in time
+	is.True(hub < inTime)
+	is.True(2*hub < alone)
+}
+
+func TestTheAnswerOfAHubStandsForTheSameEngine(t *testing.T) {
+	is := is.New(t)
+	list := []place.Engine{
+		{ID: "a", Slots: 4, Rate: 100_000, Remote: true},
+		{ID: "b", Slots: 4, Rate: 100_000, Held: 5000},
+		{ID: "c", Slots: 4, Rate: 100_000},
+	}
+	p := place.Prompt{Tokens: 6000, Shared: 5000, Key: "k"}
+	q := place.Ask(p, list)
+	is.Equal(len(q.Candidates), 3)
+	work := make([]load.Work, 3)
+	a := place.Decide(q, work)
+	is.Equal(q.Candidates[a.At].ID, "b") // it holds the part
+	work[a.At].Tokens[0] = 100_000
+	a = place.Decide(q, work)
+	is.Equal(q.Candidates[a.At].ID, "c") // reading again costs less than a second of waiting
+	c := place.Result(p, list, q, a)
+	is.Equal(c.Index, 2)
+	is.Equal(c.Ahead, 0)
+	is.Equal(c.FirstToken, 60*time.Millisecond)
+}
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -20,6 +20,7 @@
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pause"
+	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/shun"
 	"cicadastand.dev/core/proto/feed"
@@ -183,6 +184,7 @@
 		Budget:        repeats,
 		Poison:        suspects,
 		Look:          h.look,
+		Arbiter:       h,
 		IsAlone:       h.isAlone,
 		FailureDomain: s.FailureDomain,
 		OldWeights:    s.Bounds.Weights,
@@ -252,6 +254,11 @@
 	return lookHubs
 }
 
+// Place lets the hub of the failure domain place a request.
+func (h *Host) Place(ctx context.Context, q place.Query) (place.Answer, bool) {
+	return h.share.Place(ctx, q)
+}
+
 // isAlone reports whether no other host is heard.
 func (h *Host) isAlone() bool { return h.share.IsAlone() }
 
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -63,7 +63,7 @@
 	if err := r.cfg.Poison.Check(j.fingerprint, maxCrashes, r.cfg.Clock.Now()); err != nil {
 		return false, refuse(http.StatusServiceUnavailable, 0, "%v", err)
 	}
-	c, fault := j.choose()
+	c, fault := j.choose(ctx)
 	if fault != nil {
 		return false, fault
 	}
@@ -187,7 +187,7 @@
 }
 
 // choose places the request.
-func (j *job) choose() (choice, *rejection) {
+func (j *job) choose(ctx context.Context) (choice, *rejection) {
 	r := j.r
 	view := r.cfg.Board.View()
 	j.view = view
@@ -213,7 +213,7 @@
 	if !j.isModel() {
 		return j.chooseLeast(list, work), nil
 	}
-	return j.choosePrompt(r.current(list, view, j.ask.Model), work), nil
+	return j.choosePrompt(ctx, r.current(list, view, j.ask.Model), work), nil
 }
 
 func (j *job) chooseLeast(list []*site.Endpoint, work map[string]load.Work) choice {
@@ -225,7 +225,7 @@
 	return choice{endpoint: list[at]}
 }
 
-func (j *job) choosePrompt(list []*site.Endpoint, work map[string]load.Work) choice {
+func (j *job) choosePrompt(ctx context.Context, list []*site.Endpoint, work map[string]load.Work) choice {
 	now := j.r.cfg.Clock.Boot()
 	shared := j.ask.Shared()
 	prompt := place.Prompt{Tokens: j.ask.PromptTokens, Rank: j.rank()}
@@ -261,15 +261,24 @@
 			Remote:  e.FailureDomain != j.r.cfg.FailureDomain,
 		}
 	}
-	c := place.Choose(prompt, engines, j.r.cfg.Look())
-	e, k := engines[c.Index], known[c.Index]
-	out := choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-c.Has), weights: k.version, firm: k.firm, expect: c.FirstToken, waiting: waiting, ahead: e.Work.Ahead(prompt.Rank), home: c.Home}
+	c := j.place(ctx, prompt, engines)
+	k := known[c.Index]
+	out := choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-c.Has), weights: k.version, firm: k.firm, expect: c.FirstToken, waiting: waiting, ahead: c.Ahead, home: c.Home}
 	if k.firm {
 		j.setSource(&out, prompt, c, engines, list, known)
 	}
 	return out
 }
 
+// place chooses among engines, by the arbiter's knowledge where there is one.
+func (j *job) place(ctx context.Context, p place.Prompt, engines []place.Engine) place.Choice {
+	q := place.Ask(p, engines)
+	if a, ok := j.r.cfg.Arbiter.Place(ctx, q); ok {
+		return place.Result(p, engines, q, a)
+	}
+	return place.Choose(p, engines, j.r.cfg.Look())
+}
+
 // sourceMemory is how long an engine or a store is taken to hold a part: in a
 // burst the least recently used parts go within some seconds.
 const sourceMemory = 8 * time.Second
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -2,6 +2,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pause"
+	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/shun"
 	"cicadastand.dev/core/proto/call"
@@ -39,6 +41,12 @@
 	clock.Boot
 }
 
+// Arbiter decides where a request goes, with the latest word on all requests of
+// a failure domain. It reports false if this host has to decide itself.
+type Arbiter interface {
+	Place(ctx context.Context, q place.Query) (place.Answer, bool)
+}
+
 // Config says what a Relay works with.
 type Config struct {
 	Clock  Timer
@@ -55,6 +63,8 @@
 	Poison *poison.Table
 	// Look is how many engines are looked at for a placement.
 	Look func() int
+	// Arbiter places requests for a whole failure domain.
+	Arbiter Arbiter
 	// IsAlone reports whether this host hears no other one: then it is cut off, and
 	// others may serve what it can't.
 	IsAlone func() bool
--- a/router/share/peers.go
+++ b/router/share/peers.go
@@ -37,23 +37,25 @@
 
 func newPeers() *peers { return &peers{by: make(map[string]*peer)} }
 
+// client returns a client for a host.
+func (p *peers) client(to feed.Host) (loadpb.LoadClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, err := p.known(to)
+	if err != nil {
+		return nil, err
+	}
+	return known.client, nil
+}
+
 // begin returns a client for a host, or nil while a message to it is on its way.
 // done ends the message.
 func (p *peers) begin(to feed.Host) (client loadpb.LoadClient, done func(), err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known, ok := p.by[to.Name]
-	if ok && known.host != to {
-		if err := known.conn.Close(); err != nil {
-			return nil, nil, fmt.Errorf("close connection to %s: %w", known.host.Address, err)
-		}
-		ok = false
-	}
-	if !ok {
-		if known, err = dial(to); err != nil {
-			return nil, nil, err
-		}
-		p.by[to.Name] = known
+	known, err := p.known(to)
+	if err != nil {
+		return nil, nil, err
 	}
 	if known.busy {
 		return nil, nil, nil
@@ -66,6 +68,25 @@
 	}, nil
 }
 
+// known returns the connection to a host; the caller holds the lock.
+func (p *peers) known(to feed.Host) (*peer, error) {
+	known, ok := p.by[to.Name]
+	if ok && known.host == to {
+		return known, nil
+	}
+	if ok {
+		if err := known.conn.Close(); err != nil {
+			return nil, fmt.Errorf("close connection to %s: %w", known.host.Address, err)
+		}
+	}
+	known, err := dial(to)
+	if err != nil {
+		return nil, err
+	}
+	p.by[to.Name] = known
+	return known, nil
+}
+
 func dial(to feed.Host) (*peer, error) {
 	conn, err := grpc.NewClient("passthrough:///"+to.Address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
--- /dev/null
+++ b/router/share/place.go
@@ -0,0 +1,107 @@
+package share
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/coord/place"
+	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/core/proto/loadpb"
+)
+
+const (
+	// placeTimeout is what a request may wait for the hub: some times the way there
+	// and back within a failure domain, and short against any target.
+	placeTimeout = 25 * time.Millisecond
+	// placePause is how long a hub that did not answer in time is not asked.
+	placePause = 500 * time.Millisecond
+	// reserveFor is a message interval and the time to send the request.
+	reserveFor = 75 * time.Millisecond
+)
+
+// Place lets the hub of the failure domain choose the endpoint of a request. It
+// reports false where hosts decide for themselves, or the hub is not there.
+func (s *Service) Place(ctx context.Context, q place.Query) (place.Answer, bool) {
+	now := s.cfg.Clock.Boot()
+	if s.cfg.Hubs.IsMesh() {
+		return place.Answer{}, false
+	}
+	hub := s.cfg.Hubs.Own(now)
+	if hub.Name == s.cfg.Self.Name {
+		return place.Decide(q, s.cfg.Loads.Of(ids(q), now)), true
+	}
+	s.mu.Lock()
+	silent := now < s.silentUntil
+	s.mu.Unlock()
+	if silent {
+		return place.Answer{}, false
+	}
+	client, err := s.peers.client(hub)
+	if err != nil {
+		s.cfg.Logger.Warn("peer can't be used", "peer", hub.Name, "error", err)
+		return place.Answer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	placed, err := client.Place(ctx, queryMessage(s.cfg.Self.Name, q))
+	if err != nil || int(placed.GetIndex()) >= len(q.Candidates) {
+		s.mu.Lock()
+		s.silentUntil = now + placePause
+		s.mu.Unlock()
+		s.unplaced.Inc()
+		s.cfg.Logger.Info("hub does not place", "hub", hub.Name, "error", err)
+		return place.Answer{}, false
+	}
+	return place.Answer{At: int(placed.GetIndex()), Ahead: int(placed.GetAhead()), Wait: time.Duration(placed.GetWaitUs()) * time.Microsecond}, true
+}
+
+func ids(q place.Query) []string {
+	return lo.Map(q.Candidates, func(c place.Candidate, _ int) string { return c.ID })
+}
+
+func queryMessage(host string, q place.Query) *loadpb.Query {
+	return &loadpb.Query{
+		Host: host,
+		Rank: uint32(q.Rank),
+		Candidates: lo.Map(q.Candidates, func(c place.Candidate, _ int) *loadpb.Candidate {
+			return &loadpb.Candidate{
+				Endpoint: c.ID,
+				Tokens:   uint32(c.Tokens),
+				CostUs:   uint32(c.Cost.Microseconds()),
+				Rate:     uint32(c.Rate),
+				Slots:    uint32(c.Slots),
+			}
+		}),
+	}
+}
+
+func queryFrom(in *loadpb.Query) place.Query {
+	return place.Query{
+		Rank: min(int(in.GetRank()), call.Ranks-1),
+		Candidates: lo.Map(in.GetCandidates(), func(c *loadpb.Candidate, _ int) place.Candidate {
+			return place.Candidate{
+				ID:     c.GetEndpoint(),
+				Tokens: int(c.GetTokens()),
+				Cost:   time.Duration(c.GetCostUs()) * time.Microsecond,
+				Rate:   float64(max(1, c.GetRate())),
+				Slots:  int(c.GetSlots()),
+			}
+		}),
+	}
+}
+
+// placeFor chooses for a host of the domain, and reserves until the word of that
+// host shows the request.
+func (s *Service) placeFor(in *loadpb.Query) *loadpb.Placed {
+	q := queryFrom(in)
+	if len(q.Candidates) == 0 {
+		return &loadpb.Placed{}
+	}
+	now := s.cfg.Clock.Boot()
+	a := place.Decide(q, s.cfg.Loads.Of(ids(q), now))
+	c := q.Candidates[a.At]
+	s.cfg.Loads.Reserve(in.GetHost(), c.ID, q.Rank, c.Tokens, now+reserveFor)
+	return &loadpb.Placed{Index: uint32(a.At), Ahead: uint32(a.Ahead), WaitUs: uint32(a.Wait.Microseconds())}
+}
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -77,7 +77,6 @@
 //
 // Lock order: Service.mu is a leaf.
 type Service struct {
-	loadpb.UnimplementedLoadServer
 	cfg      Config
 	server   *grpc.Server
 	listener net.Listener
@@ -89,8 +88,17 @@
 	asked time.Duration
 	// met is when this host last heard any other one.
 	met time.Duration
+	// silentUntil is when the hub is asked for placements again.
+	silentUntil time.Duration
 
 	failures *metrics.Counter
+	unplaced *metrics.Counter
+}
+
+// hub is the side of a Service that peers call.
+type hub struct {
+	loadpb.UnimplementedLoadServer
+	*Service
 }
 
 // New returns a service that has not started.
@@ -101,6 +109,7 @@
 		asked:    -askedTrust,
 		met:      -2 * askedTrust,
 		failures: cfg.Metrics.NewCounter("cicada_share_failures_total"),
+		unplaced: cfg.Metrics.NewCounter("cicada_share_unplaced_total"),
 	}
 }
 
@@ -116,7 +125,7 @@
 	}
 	s.listener = listener
 	s.server = grpc.NewServer()
-	loadpb.RegisterLoadServer(s.server, s)
+	loadpb.RegisterLoadServer(s.server, &hub{Service: s})
 	go s.run()
 	return nil
 }
@@ -275,7 +284,8 @@
 func age(m *loadpb.Mark) time.Duration { return time.Duration(m.GetAgeMs()) * time.Millisecond }
 
 // Tell takes a peer's word.
-func (s *Service) Tell(_ context.Context, in *loadpb.Status) (*loadpb.Heard, error) {
+func (h *hub) Tell(_ context.Context, in *loadpb.Status) (*loadpb.Heard, error) {
+	s := h.Service
 	name := in.GetHost()
 	now := s.cfg.Clock.Boot()
 	s.meet()
@@ -307,6 +317,11 @@
 	return s.answer(in, now), nil
 }
 
+// Place answers a host of the domain that asks where to send a request.
+func (h *hub) Place(_ context.Context, in *loadpb.Query) (*loadpb.Placed, error) {
+	return h.placeFor(in), nil
+}
+
 // pass tells others of a placement: those of the own domain, and the other hubs
 // if it comes from the own domain.
 func (s *Service) pass(p kept.Placement, from *loadpb.Status) {
