Pass the operator's records on through hubs

And a host that the store turned away got no new configuration. Change: a hub answers with the newest records as they were published, to hosts that have older ones; the proof of freshness stays the start of the hub's read. A hub is asked for placements again after one late answer, since a link of 10 Mbit/s may hold a query up behind request bodies (280 late answers in 24 s, in ones): 40 ms, and a pause after two in a row.

--- a/core/proto/feed/feed.go
+++ b/core/proto/feed/feed.go
@@ -25,10 +25,18 @@
 	Config *site.Config
 	// Weights is the newest version named for each model.
 	Weights map[string]int
+	// Records are those that were read, as they were published.
+	Records []Record
 	// Faults are the records that could not be used.
 	Faults []error
 }
 
+// Record is what the operator has published under a key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
 // Entries is what endpoints have written of themselves.
 type Entries struct {
 	// Next is the offset from which to read on.
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -11,6 +11,7 @@
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/proto/loadpb"
 	"cicadastand.dev/core/state/kept"
 	"cicadastand.dev/core/state/site"
@@ -79,6 +80,14 @@
 	}
 }
 
+func recordMessage(r feed.Record, _ int) *loadpb.Record {
+	return &loadpb.Record{Key: r.Key, Value: r.Value}
+}
+
+func recordFrom(r *loadpb.Record, _ int) feed.Record {
+	return feed.Record{Key: r.GetKey(), Value: r.GetValue()}
+}
+
 func placementMessage(p kept.Placement, _ int) *loadpb.Placement {
 	return &loadpb.Placement{
 		Endpoint: p.Endpoint,
--- a/router/share/place.go
+++ b/router/share/place.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// placeTimeout is what a request may wait for the hub: some times the way there
-	// and back within a failure domain, and short against any target.
-	placeTimeout = 25 * time.Millisecond
-	// placePause is how long a hub that did not answer in time is not asked.
+	// placeTimeout is what a request may wait for the hub: the time that a link of
+	// 10 Mbit/s takes for some request bodies, and short against any target.
+	placeTimeout = 40 * time.Millisecond
+	// maxSilent is how many queries in a row a hub may leave open before it is not
+	// asked for placePause.
+	maxSilent  = 2
 	placePause = 500 * time.Millisecond
 	// reserveFor is a message interval and the time to send the request.
 	reserveFor = 75 * time.Millisecond
@@ -48,12 +50,17 @@
 	placed, err := client.Place(ctx, queryMessage(s.cfg.Self.Name, q))
 	if err != nil || int(placed.GetIndex()) >= len(q.Candidates) {
 		s.mu.Lock()
-		s.silentUntil = now + placePause
+		if s.silent++; s.silent >= maxSilent {
+			s.silentUntil = now + placePause
+		}
 		s.mu.Unlock()
 		s.unplaced.Inc()
 		s.cfg.Logger.Info("hub does not place", "hub", hub.Name, "error", err)
 		return place.Answer{}, false
 	}
+	s.mu.Lock()
+	s.silent = 0
+	s.mu.Unlock()
 	return place.Answer{At: int(placed.GetIndex()), Ahead: int(placed.GetAhead()), Wait: time.Duration(placed.GetWaitUs()) * time.Microsecond}, true
 }
 
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -32,6 +32,10 @@
 	return nil, 0, 0, false
 }
 
+func (nothing) Records() []feed.Record { return nil }
+
+func (nothing) HeardRecords([]feed.Record, int64, time.Duration) {}
+
 func (nothing) HeardPublished(int64, time.Duration) {}
 
 func (nothing) HeardRoster(map[string]*site.Endpoint, time.Duration) {}
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -40,6 +40,10 @@
 	Published() (next int64, started time.Duration, ok bool)
 	// Roster returns the endpoints with their fingerprint and the start of the read.
 	Roster() (list map[string]*site.Endpoint, fingerprint uint64, started time.Duration, ok bool)
+	// Records returns the newest records of the operator.
+	Records() []feed.Record
+	// HeardRecords takes these records, read up to next, from another host.
+	HeardRecords(records []feed.Record, next int64, started time.Duration)
 	// HeardPublished takes a read of another host.
 	HeardPublished(next int64, started time.Duration)
 	// HeardRoster takes the endpoints from another host; nil if they are those
@@ -88,6 +92,8 @@
 	asked time.Duration
 	// met is when this host last heard any other one.
 	met time.Duration
+	// silent counts the queries in a row that the hub left open.
+	silent int
 	// silentUntil is when the hub is asked for placements again.
 	silentUntil time.Duration
 
@@ -272,6 +278,9 @@
 		s.cfg.Kept.Add(placementFrom(p, now))
 	}
 	if m := in.GetPublished(); m.GetKnown() {
+		if records := in.GetRecords(); len(records) > 0 {
+			s.cfg.Reads.HeardRecords(lo.Map(records, recordFrom), m.GetNext(), sent-age(m))
+		}
 		s.cfg.Reads.HeardPublished(m.GetNext(), sent-age(m))
 	}
 	if m := in.GetRosterRead(); m.GetKnown() {
@@ -340,6 +349,9 @@
 	}
 	if next, started, ok := s.cfg.Reads.Published(); ok {
 		out.Published = mark(next, now-started)
+		if next > in.GetPublishedNext() {
+			out.Records = lo.Map(s.cfg.Reads.Records(), recordMessage)
+		}
 	}
 	if list, fingerprint, started, ok := s.cfg.Reads.Roster(); ok {
 		out.RosterRead = mark(0, now-started)
@@ -362,6 +374,7 @@
 	if _, fingerprint, _, ok := s.cfg.Reads.Roster(); ok {
 		out.Roster = fingerprint
 	}
+	out.PublishedNext, _, _ = s.cfg.Reads.Published()
 	return out
 }
 
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -13,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
@@ -25,6 +26,8 @@
 	// Published returns what the operator published since an offset, waiting up
 	// to wait for something new.
 	Published(ctx context.Context, from int64, wait time.Duration) (feed.Published, error)
+	// Decode decodes records that another host has read.
+	Decode(records []feed.Record) feed.Published
 	// Entries returns what endpoints have written since an offset.
 	Entries(ctx context.Context, from int64) (feed.Entries, error)
 }
@@ -80,9 +83,11 @@
 
 	mu        sync.Mutex
 	published mark
-	roster    *roster
-	entries   mark
-	print     uint64
+	// records are the newest of the operator by key.
+	records map[string][]byte
+	roster  *roster
+	entries mark
+	print   uint64
 }
 
 // mark is the newest read of a topic.
@@ -102,6 +107,7 @@
 		failures: cfg.Metrics.NewCounter("cicada_store_read_failures_total"),
 		reads:    cfg.Metrics.NewCounter("cicada_store_reads_total"),
 		newer:    make(chan struct{}, 1),
+		records:  make(map[string][]byte),
 		roster:   newRoster(),
 	}
 }
@@ -183,10 +189,34 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.published.known && p.Next < w.published.next {
+		return
+	}
+	for _, r := range p.Records {
+		w.records[r.Key] = r.Value
+	}
 	w.published = mark{known: true, next: p.Next, started: started}
 	w.cfg.Board.Verify(started)
 }
 
+// Records returns the newest records of the operator.
+func (w *Watcher) Records() []feed.Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return lo.MapToSlice(w.records, func(key string, value []byte) feed.Record { return feed.Record{Key: key, Value: value} })
+}
+
+// HeardRecords takes the newest records of the operator from another host, which
+// has read them up to next.
+func (w *Watcher) HeardRecords(records []feed.Record, next int64, started time.Duration) {
+	if m := w.publishedMark(); m.known && next <= m.next {
+		return
+	}
+	p := w.cfg.Store.Decode(records)
+	p.Next = next
+	w.take(p, started)
+}
+
 // Published returns the offset after the newest record of the operator, and the
 // start of the read that showed it.
 func (w *Watcher) Published() (next int64, started time.Duration, ok bool) {
--- /dev/null
+++ b/router/watch/watch_test.go
@@ -0,0 +1,85 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"cicadastand.dev/core/proto/feed"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/sight"
+	"cicadastand.dev/core/state/site"
+)
+
+// closed is a store that turns this host away.
+type closed struct{ t *testing.T }
+
+var errAway = errors.New("turned away")
+
+func (closed) Published(context.Context, int64, time.Duration) (feed.Published, error) {
+	return feed.Published{}, errAway
+}
+
+func (closed) Entries(context.Context, int64) (feed.Entries, error) {
+	return feed.Entries{}, errAway
+}
+
+// Decode takes the length of the value as the version.
+func (c closed) Decode(records []feed.Record) feed.Published {
+	p := feed.Published{Records: records}
+	for _, r := range records {
+		config, err := site.New(site.Parts{Version: int64(len(r.Value)), Routes: []*site.Route{{}}})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		p.Config = config
+	}
+	return p
+}
+
+func watcher(t *testing.T) (*Watcher, *sight.Board) {
+	board := sight.New()
+	return New(Config{
+		Clock: clock.New(), Store: closed{t: t}, Board: board, IsHub: func() bool { return false },
+		Logger: hclog.NewNullLogger(), Metrics: metrics.NewSet(),
+	}), board
+}
+
+func record(version int) []feed.Record {
+	return []feed.Record{{Key: "config", Value: make([]byte, version)}}
+}
+
+// The store turns this host away while a configuration is published: it comes
+// from the hub, with the time of the hub's read.
+func TestAHostThatIsTurnedAwayLearnsTheConfigurationFromItsHub(t *testing.T) {
+	is := is.New(t)
+	w, board := watcher(t)
+	w.HeardRecords(record(1), 5, 10*time.Second)
+	is.Equal(board.View().Config.Version, int64(1))
+	w.HeardRecords(record(3), 7, 12*time.Second)
+	is.Equal(board.View().Config.Version, int64(3))
+	next, started, ok := w.Published()
+	is.True(ok)
+	is.Equal(next, int64(7))
+	is.Equal(started, 12*time.Second)
+	is.Equal(len(w.Records()), 1) // it can pass them on as a hub
+	age, known := board.Age(15 * time.Second)
+	is.True(known)
+	is.Equal(age, 3*time.Second)
+}
+
+func TestOlderRecordsProveNothing(t *testing.T) {
+	is := is.New(t)
+	w, board := watcher(t)
+	w.HeardRecords(record(3), 7, 10*time.Second)
+	w.HeardRecords(record(2), 6, 20*time.Second) // of a hub that has not read the newest
+	is.Equal(board.View().Config.Version, int64(3))
+	next, started, _ := w.Published()
+	is.Equal(next, int64(7))
+	is.Equal(started, 10*time.Second)
+}
