--- a/core/coord/early/early.go
+++ b/core/coord/early/early.go
@@ -12,11 +12,20 @@
 const (
 	// busyWaiting is the number of waiting requests for each engine from which on
 	// lateness counts. Below it there is room, and a large prompt is served however
-	// long it takes.
-	busyWaiting = 1.0
+	// long it takes. On large sites without a burst, two to three wait, the one that
+	// is read included.
+	busyWaiting = 4.0
+	// waitShare is the part of the target that a request may be expected to take:
+	// more urgent requests that come meanwhile go before it, and a short queue
+	// leaves the engine's memory to cached prompt parts.
+	waitShare = 0.55
+	// returnShare is the part of the time left after which a request comes back that
+	// can't be in time any more, and returnLimit the most that clients accept.
+	returnShare = 0.15
+	returnLimit = 1.0 / 3
 	// minReturn and maxReturn bound the time that clients are told.
 	minReturn = 100 * time.Millisecond
-	maxReturn = 2 * time.Second
+	maxReturn = 4 * time.Second
 	// spreadShare is the part of that time over which clients are spread.
 	spreadShare = 0.5
 )
@@ -25,8 +34,10 @@
 type Demand struct {
 	// Waiting is how many requests wait for each engine, on average.
 	Waiting float64
-	// Expected is the time to the first token at the best engine.
+	// Expected is the time to the first token at the best engine, and Wait the part
+	// of it until the engine begins with the prompt.
 	Expected time.Duration
+	Wait     time.Duration
 	// Spent is the time since the request came in.
 	Spent time.Duration
 	// Target is the time in which the first token is wanted; 0 if none is set.
@@ -46,11 +57,17 @@
 	}
 	over := d.Expected - d.Left
 	if d.Target > 0 && d.Waiting >= busyWaiting {
-		over = max(over, d.Expected-(d.Target-d.Spent))
+		over = max(over, d.Expected+d.Spent-share(waitShare, d.Target))
 	}
 	if over <= 0 {
 		return true, 0
 	}
-	wait := float64(over) * (1 + spreadShare*d.Spread)
-	return false, max(minReturn, min(maxReturn, time.Duration(wait)))
+	wait := over
+	if d.Spent+over+d.Expected-d.Wait > d.Target {
+		wait = max(wait, share(returnShare, d.Left))
+	}
+	wait = min(wait, maxReturn, share(returnLimit/(1+spreadShare), d.Left))
+	return false, max(minReturn, share(1+spreadShare*d.Spread, wait))
 }
+
+func share(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
--- a/core/coord/fetch/fetch.go
+++ b/core/coord/fetch/fetch.go
@@ -58,18 +58,23 @@
 	Nowhere   = -2
 )
 
-// Decide returns the source with the most of the part, the nearest first. The
-// store is last: its link serves all engines.
+// saveShare is how much of its own a prompt that the store keeps may have, as a
+// part of what it shares: the store drops what was not used for the longest time,
+// and must hold the shared parts of some seconds.
+const saveShare = 0.5
+
+// Decide returns the nearest engine that holds all of the part, then the store,
+// whose link serves all engines, then the engine with the most of it. What the
+// engine turns out to have is not transferred.
 func Decide(n Need) Decision {
-	d := Decision{From: Nowhere, Save: n.HasStore && !n.Stored && n.Newest && n.Own <= n.Shared}
-	target := n.Engines[n.Target]
-	if target.Held >= n.Shared {
-		return d
+	d := Decision{
+		From: Nowhere,
+		Save: n.HasStore && !n.Stored && n.Newest && float64(n.Own) <= saveShare*float64(n.Shared),
 	}
-	best := target.Held
-	near := false
+	target := n.Engines[n.Target]
+	best, near := 0, false
 	for i, e := range n.Engines {
-		if i == n.Target || !e.Usable || e.Held < best || e.Held == 0 {
+		if i == n.Target || !e.Usable || e.Held == 0 || e.Held < best {
 			continue
 		}
 		isNear := e.FailureDomain == target.FailureDomain
@@ -77,14 +82,14 @@
 			d.From, best, near = i, e.Held, isNear
 		}
 	}
-	if best >= n.Shared {
-		return d
-	}
 	switch {
-	case n.Stored:
+	case n.Stored && (best < n.Shared || target.Held >= n.Shared):
 		d.From = FromStore
-	case d.From == Nowhere && n.Owner != n.Target && n.Engines[n.Owner].Usable:
-		d.From = n.Owner
+	case best <= target.Held:
+		d.From = Nowhere
+		if target.Held == 0 && n.Owner != n.Target && n.Engines[n.Owner].Usable {
+			d.From = n.Owner
+		}
 	}
 	return d
 }
--- a/core/coord/load/load.go
+++ b/core/coord/load/load.go
@@ -42,6 +42,16 @@
 	return sum
 }
 
+// WaitingAhead returns how many requests begin before a new one of a rank. Hosts
+// tell the ranks of tokens alone, so it goes by their share.
+func (w Work) WaitingAhead(rank int) int {
+	all := w.Ahead(call.Ranks - 1)
+	if all <= 0 {
+		return w.Waiting
+	}
+	return w.Waiting * w.Ahead(rank) / all
+}
+
 // Requests returns how many requests are at the endpoint.
 func (w Work) Requests() int { return w.Waiting + w.Running }
 
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -60,8 +60,9 @@
 	// Tokens is its length, Shared the part that other requests have in common.
 	Tokens int
 	Shared int
-	// TransferRate is how many tokens of cache arrive at an engine in a second; 0 if
-	// nothing can be fetched.
+	// Fetchable is how much of the shared part is known to be where engines can fetch
+	// it from, and TransferRate how many tokens arrive in a second.
+	Fetchable    int
 	TransferRate float64
 	// Rank is its urgency: what is less urgent waits behind it.
 	Rank int
@@ -77,8 +78,10 @@
 	Has int
 	// Ahead is how many tokens are read before the prompt.
 	Ahead int
-	// FirstToken is the expected time to the first token.
+	// FirstToken is the expected time to the first token, and Wait the part of it
+	// until the engine begins with the prompt.
 	FirstToken time.Duration
+	Wait       time.Duration
 	// Owner is the index of the engine that all hosts choose for the shared part
 	// while nobody holds it.
 	Owner int
@@ -115,7 +118,7 @@
 			best, least = i, cost
 		}
 	}
-	return Choice{Index: best, Has: p.has(engines[best]), Ahead: engines[best].Work.Ahead(p.Rank), FirstToken: FirstToken(p, engines[best]), Owner: owner, Home: best == owner}
+	return Choice{Index: best, Has: p.has(engines[best]), Ahead: engines[best].Work.Ahead(p.Rank), FirstToken: FirstToken(p, engines[best]), Wait: p.wait(engines[best]), Owner: owner, Home: best == owner}
 }
 
 // cost is the time to the first token, and what a second reading of the shared
@@ -138,7 +141,7 @@
 // has returns how many leading tokens of the shared part the engine need not read.
 func (p Prompt) has(e Engine) int {
 	if e.Fetches && p.TransferRate > 0 {
-		return p.Shared
+		return max(e.Held, p.Fetchable)
 	}
 	return e.Held
 }
@@ -164,7 +167,7 @@
 func Wait(e Engine, rank int) time.Duration {
 	cost := readTime(float64(e.Work.Ahead(rank)), e)
 	cost += time.Duration(e.Work.Running) * runningCost
-	if over := e.Work.Requests() + 1 - e.Slots; over > 0 {
+	if over := e.Work.Running + e.Work.WaitingAhead(rank) + 1 - e.Slots; over > 0 {
 		cost += time.Duration(over) * overfullCost
 	}
 	return cost
--- a/core/coord/place/query.go
+++ b/core/coord/place/query.go
@@ -102,5 +102,5 @@
 	index := q.Candidates[a.At].Index
 	e := engines[index]
 	e.Work = load.Work{}
-	return Choice{Index: index, Has: p.has(e), Ahead: a.Ahead, FirstToken: FirstToken(p, e) + a.Wait, Owner: q.Owner, Home: index == q.Owner}
+	return Choice{Index: index, Has: p.has(e), Ahead: a.Ahead, FirstToken: FirstToken(p, e) + a.Wait, Wait: a.Wait, Owner: q.Owner, Home: index == q.Owner}
 }
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -45,9 +45,17 @@
 	// source is where the endpoint fetches the shared part from, and store where it
 	// sends what it reads; nil for nowhere.
 	source netip.AddrPort
+	// sourceName is that of the source in logs.
+	sourceName string
+	// shared is how many tokens of the prompt others have in common with it, held
+	// how many of these the endpoint is known to hold.
+	shared int
+	held   int
 	store  *site.CacheStore
 	// expect is the time to the first token.
 	expect time.Duration
+	// wait is the part of it until the endpoint begins with the prompt.
+	wait time.Duration
 	// waiting is how many requests wait for each engine, on average.
 	waiting float64
 	// ahead is how many tokens are read before the prompt.
@@ -103,6 +111,7 @@
 	return early.Demand{
 		Waiting:  c.waiting,
 		Expected: c.expect,
+		Wait:     c.wait,
 		Spent:    now.Sub(j.start),
 		Target:   j.route.TargetLatency,
 		Left:     j.due.Sub(now),
@@ -255,15 +264,23 @@
 			Slots:   e.Slots,
 			Rate:    j.r.speed.rate(e.ID),
 			Work:    work[e.ID],
-			Held:    j.r.cfg.Kept.Held(e.ID, known[i].version, j.wall(), shared, now-sourceMemory),
+			Held:    j.r.cfg.Kept.Held(e.ID, known[i].version, j.wall(), shared, now-engineMemory),
 			Fetches: known[i].firm,
 			Old:     known[i].version < j.view.Newest(j.ask.Model),
 			Remote:  e.FailureDomain != j.r.cfg.FailureDomain,
 		}
 	}
+	newest := j.view.Newest(j.ask.Model)
+	for _, e := range engines {
+		prompt.Fetchable = max(prompt.Fetchable, e.Held)
+	}
+	if j.isStored(fetch.Store(prompt.Key, j.view.Config.CacheStores), newest, prompt.Shared) {
+		prompt.Fetchable = prompt.Shared
+	}
 	c := j.place(ctx, prompt, engines)
 	k := known[c.Index]
-	out := choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-c.Has), weights: k.version, firm: k.firm, expect: c.FirstToken, waiting: waiting, ahead: c.Ahead, home: c.Home}
+	out := choice{endpoint: list[c.Index], read: max(0, prompt.Tokens-c.Has), weights: k.version, firm: k.firm, expect: c.FirstToken, wait: c.Wait, waiting: waiting, ahead: c.Ahead, home: c.Home}
+	out.shared, out.held = prompt.Shared, engines[c.Index].Held
 	if k.firm {
 		j.setSource(&out, prompt, c, engines, list, known)
 	}
@@ -279,18 +296,36 @@
 	return place.Choose(p, engines, j.r.cfg.Look())
 }
 
-// sourceMemory is how long an engine or a store is taken to hold a part: in a
-// burst the least recently used parts go within some seconds.
-const sourceMemory = 8 * time.Second
+const (
+	// engineMemory is how long an engine is taken to hold a part: on a large site
+	// under load, the prompts of two to three seconds fill an engine's cache.
+	engineMemory = 2500 * time.Millisecond
+	// storeMemory is how long a store is taken to hold a part. It may have restarted
+	// since, and what is read again within ten seconds is priced.
+	storeMemory = 10 * time.Second
+)
+
+// isStored reports whether a store is known to hold the shared part.
+func (j *job) isStored(store *site.CacheStore, weights, shared int) bool {
+	since := j.r.cfg.Clock.Boot() - storeMemory
+	return store != nil && j.r.cfg.Kept.Held(store.Address.String(), weights, j.wall(), j.ask.Shared(), since) >= shared
+}
 
 // setSource decides from where the shared part is fetched and where it is kept.
 func (j *job) setSource(out *choice, p place.Prompt, c place.Choice, engines []place.Engine, list []*site.Endpoint, known []belief) {
 	if p.Shared == 0 || p.TransferRate <= 0 {
 		return
 	}
-	r := j.r
-	now := r.cfg.Clock.Boot()
-	n := fetch.Need{Shared: p.Shared, Own: p.Tokens - p.Shared, Target: c.Index, Owner: c.Owner, Newest: !engines[c.Index].Old}
+	store := fetch.Store(p.Key, j.view.Config.CacheStores)
+	n := fetch.Need{
+		Shared:   p.Shared,
+		Own:      p.Tokens - p.Shared,
+		Target:   c.Index,
+		Owner:    c.Owner,
+		HasStore: store != nil,
+		Stored:   j.isStored(store, out.weights, p.Shared),
+		Newest:   !engines[c.Index].Old,
+	}
 	for i, e := range engines {
 		n.Engines = append(n.Engines, fetch.Engine{
 			FailureDomain: list[i].FailureDomain,
@@ -298,17 +333,12 @@
 			Usable:        known[i].firm && known[i].version == out.weights,
 		})
 	}
-	store := fetch.Store(p.Key, j.view.Config.CacheStores)
-	if store != nil {
-		n.HasStore = true
-		n.Stored = r.cfg.Kept.Held(store.Address.String(), out.weights, j.wall(), j.ask.Shared(), now-sourceMemory) >= p.Shared
-	}
 	d := fetch.Decide(n)
 	switch {
 	case d.From == fetch.FromStore:
-		out.source = store.Address
+		out.source, out.sourceName = store.Address, "store"
 	case d.From >= 0:
-		out.source = list[d.From].Address
+		out.source, out.sourceName = list[d.From].Address, list[d.From].ID
 	}
 	if d.Save {
 		out.store = store
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -280,7 +280,7 @@
 	}
 	if j.isModel() && j.chosen.endpoint != nil {
 		args = append(args, "rank", j.rank(), "tokens", j.chosen.read, "ahead", j.chosen.ahead, "waiting", math.Round(10*j.chosen.waiting)/10,
-			"expect-ms", j.chosen.expect.Milliseconds(), "weights", j.chosen.weights, "fetch", j.chosen.source.IsValid(), "save", j.chosen.store != nil)
+			"expect-ms", j.chosen.expect.Milliseconds(), "weights", j.chosen.weights, "shared", j.chosen.shared, "held", j.chosen.held, "source", j.chosen.sourceName, "save", j.chosen.store != nil)
 	}
 	if j.firstByte > 0 {
 		args = append(args, "first-ms", j.firstByte.Milliseconds())
