--- a/core/coord/admit/gate_test.go
+++ b/core/coord/admit/gate_test.go
@@ -47,7 +47,7 @@
 		}
 	}()
 	for g.Stats() == before {
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond) // until the goroutine waits at the gate
 	}
 }
 
--- a/core/coord/claim/append.go
+++ b/core/coord/claim/append.go
@@ -29,6 +29,7 @@
 			failures++
 			c.cfg.Logger.Warn("append failed", "records", len(batch), "error", err)
 			c.putBack(batch)
+			// An error means that ctx has ended, which the loop sees as well.
 			_ = clock.Sleep(ctx, c.cfg.Clock, follow.Backoff(failures))
 			continue
 		}
--- a/core/coord/claim/claim_test.go
+++ b/core/coord/claim/claim_test.go
@@ -122,7 +122,7 @@
 		done <- err
 	}()
 	for c.Stats().Attempts == 0 {
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond) // until the goroutines have got that far
 	}
 	fake.Advance(time.Second)
 	is.True(claim.IsErrNotRun(<-done))
@@ -154,13 +154,13 @@
 		})
 	}
 	for c.Stats().Attempts < 200 {
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond) // until the goroutines have got that far
 	}
 	log.setRefuse(false)
 	before := log.appends
 	for c.Stats().Queued > 0 {
 		fake.Advance(time.Second)
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond) // until the goroutines have got that far
 	}
 	done.Wait()
 	is.True(log.appends-before <= 4)
--- a/core/coord/commit/commit.go
+++ b/core/coord/commit/commit.go
@@ -101,6 +101,7 @@
 }
 
 func (w *waiter) run(ctx context.Context) {
+	// An error means that ctx has ended: then nobody waits for the verdict.
 	_ = w.store.Wait(ctx, func(s *conf.State) bool {
 		for _, v := range s.History() {
 			if v.ID == w.id {
--- a/core/coord/follow/reader.go
+++ b/core/coord/follow/reader.go
@@ -72,6 +72,7 @@
 		if r.failures == 1 && ctx.Err() == nil {
 			r.cfg.Logger.Warn("log can't be read", "stream", r.cfg.Stream, "error", err)
 		}
+		// An error means that ctx has ended, which the loop sees as well.
 		_ = clock.Sleep(ctx, r.cfg.Clock, Backoff(r.failures))
 	}
 }
--- a/core/coord/route/route.go
+++ b/core/coord/route/route.go
@@ -56,6 +56,7 @@
 func Score(key prefix.Key, endpoint string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
+	// Writes to a digest can't fail.
 	_, _ = d.Write(key[:])
 	_, _ = d.WriteString(endpoint)
 	return d.Sum64()
--- a/core/state/ledger/table_test.go
+++ b/core/state/ledger/table_test.go
@@ -116,7 +116,7 @@
 
 func (m *protocol) outcome(t *rapid.T) {
 	if m.holder == "" {
-		t.Skip("nobody has sent")
+		t.Skip("nobody has sent") // the model has no such step in this state
 	}
 	m.apply(t, ledger.Record{Kind: ledger.KindOutcome, ID: ledger.ID{Key: "k"}, Attempt: m.holder, Outcome: &ledger.Outcome{Status: 201}})
 	m.done = true
