Publish a placement that brings a leading part to its preferred engine

Cause: a placement at the engine that all hosts prefer for a prefix is not sent to peers, since they expect the prefix there. They do not expect its leading parts, which other prefixes share: each engine read them again for itself after each load of weights.

--- a/core/state/kvmap/kvmap.go
+++ b/core/state/kvmap/kvmap.go
@@ -78,23 +78,28 @@
 
 // Add records a placement. Parts that were computed with older weights than those
 // the endpoint is known to have are ignored; newer weights empty its cache first.
-func (x *Index) Add(p Placement) {
+// It reports whether all parts but the last were already known to be there.
+func (x *Index) Add(p Placement) (known bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	c := x.caches[p.Endpoint]
 	if c != nil && c.weights > p.Weights {
-		return
+		return true
 	}
 	if c == nil || c.weights < p.Weights {
 		c = &cache{weights: p.Weights, order: list.New(), parts: make(map[string]*list.Element)}
 		x.caches[p.Endpoint] = c
 	}
-	for _, part := range p.Parts {
+	known = true
+	for i, part := range p.Parts {
+		_, ok := c.parts[p.CacheSalt+"/"+part.ID]
+		known = known && (ok || i == len(p.Parts)-1)
 		c.add(cachedPart{key: p.CacheSalt + "/" + part.ID, tokens: part.Tokens, learntAt: p.LearntAt})
 	}
 	for c.tokens > int(capacityShare*float64(p.Capacity)) && c.order.Len() > 0 {
 		c.dropOldest()
 	}
+	return known
 }
 
 func (c *cache) add(p cachedPart) {
--- a/router/relay/cache.go
+++ b/router/relay/cache.go
@@ -85,8 +85,8 @@
 		return
 	}
 	p := j.newPlacement(c.endpoint.ID, weights, j.service.Engine.CacheTokens)
-	j.r.cfg.CacheIndex.Add(p)
-	if !c.isOwner {
+	known := j.r.cfg.CacheIndex.Add(p)
+	if !c.isOwner || !known {
 		j.r.cfg.PlacementUpdates.Publish(p, func(string) bool { return true })
 	}
 }
