Count stalls of running streams and started prompts in a placement

Of those that waited, most had 0 tokens ahead: their engine had started a long prompt of a less urgent rank, which it does not interrupt. The others started in time and then paused: an event holds 15 tokens, and each chunk of a long prompt delays each token by 46 ms.

Half of a started prompt of a less urgent rank now counts as wait, and a quarter of the stalls that a prompt causes to running streams, or that a stream will suffer, as cost.

--- a/core/coord/load/load.go
+++ b/core/coord/load/load.go
@@ -45,11 +45,25 @@
 	return sum
 }
 
+// LastRank is the least urgent rank.
+const LastRank = call.Ranks - 1
+
+// TokensStarted estimates the tokens that the engine still has to compute of a prompt
+// that it has started before a new, more urgent request arrives: engines finish such a
+// prompt first. It is half of the average prompt that is queued behind the rank.
+func (w Work) TokensStarted(rank int) int {
+	requests := w.Waiting - w.RequestsAhead(rank)
+	if requests <= 0 {
+		return 0
+	}
+	return (w.TokensAhead(LastRank) - w.TokensAhead(rank)) / requests / 2
+}
+
 // RequestsAhead estimates how many waiting requests are queued ahead of a new one of
 // a rank. Hosts exchange token counts by rank but request counts only in total, so the
 // estimate assumes that the requests are divided among the ranks as the tokens are.
 func (w Work) RequestsAhead(rank int) int {
-	all := w.TokensAhead(call.Ranks - 1)
+	all := w.TokensAhead(LastRank)
 	if all <= 0 {
 		return w.Waiting
 	}
--- a/core/coord/load/load_test.go
+++ b/core/coord/load/load_test.go
@@ -74,3 +74,14 @@
 	is.Equal(table.TotalExcept("b", 0)["e"].Waiting, 1)
 	is.Equal(at(75*time.Millisecond).Waiting, 0)
 }
+
+// An engine does not interrupt a prompt that it has started to compute.
+func TestStartedPromptIsAheadOfMoreUrgentOnes(t *testing.T) {
+	is := is.New(t)
+	w := load.Work{Waiting: 2}
+	w.Tokens[4] = 20_000
+	is.Equal(w.TokensAhead(3), 0)
+	is.Equal(w.TokensStarted(3), 5_000) // half of one of the two
+	is.Equal(w.TokensStarted(4), 0)     // counted as queued
+	is.Equal(load.Work{}.TokensStarted(0), 0)
+}
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -30,6 +30,11 @@
 	busyWait = 100 * time.Millisecond
 	// runningRequestCost is the prefill delay caused by each running request.
 	runningRequestCost = 200 * time.Microsecond
+	// stallShare is the weight of the time for which a prompt stalls streams that are
+	// already running, or for which a stream will be stalled by prompts that are queued
+	// behind it. stallTolerance is the stall that streams can bear.
+	stallShare     = 0.25
+	stallTolerance = 100 * time.Millisecond
 	// excessRequestCost is the delay per request beyond the engine's slots.
 	excessRequestCost = 40 * time.Millisecond
 	// fetchFactor scales the estimated time of a cache fetch. It allows for fetches
@@ -139,7 +144,19 @@
 	if e.OldWeights {
 		cost += oldWeightsCost
 	}
-	return cost
+	return cost + stall(e, p.Rank, max(0, p.Tokens-p.reusableTokens(e)))
+}
+
+// stall returns the cost of the pauses in streams that follow from placing a prompt of a
+// rank at an engine. While an engine computes a prompt, its running streams make little
+// progress. So prompts that take long to compute go to engines that run few streams, and
+// streams go to engines that have few such prompts to compute.
+func stall(e Engine, rank, tokens int) time.Duration {
+	queued := e.Work.TokensAhead(load.LastRank)
+	excess := func(tokens int) time.Duration { return max(0, prefillTime(float64(tokens), e)-stallTolerance) }
+	caused := time.Duration(e.Work.Running) * (excess(queued+tokens) - excess(queued))
+	suffered := prefillTime(float64(queued-e.Work.TokensAhead(rank)), e)
+	return time.Duration(stallShare * float64(caused+suffered))
 }
 
 // wait returns the queueing delay of the prompt at an engine.
@@ -173,7 +190,7 @@
 
 // Wait estimates the queueing delay of a new request of a rank at an engine.
 func Wait(e Engine, rank int) time.Duration {
-	cost := prefillTime(float64(e.Work.TokensAhead(rank)), e)
+	cost := prefillTime(float64(e.Work.TokensAhead(rank)+e.Work.TokensStarted(rank)), e)
 	cost += time.Duration(e.Work.Running) * runningRequestCost
 	if over := e.Work.Running + e.Work.RequestsAhead(rank) + 1 - e.Slots; over > 0 {
 		cost += time.Duration(over) * excessRequestCost
--- a/core/coord/place/query.go
+++ b/core/coord/place/query.go
@@ -89,8 +89,9 @@
 	var best Decision
 	least := time.Duration(0)
 	for i, c := range q.Candidates {
-		wait := Wait(Engine{Slots: c.Slots, PrefillRate: c.PrefillRate, Work: work[i]}, q.Rank)
-		if cost := c.Cost + wait; i == 0 || cost < least {
+		e := Engine{Slots: c.Slots, PrefillRate: c.PrefillRate, Work: work[i]}
+		wait := Wait(e, q.Rank)
+		if cost := c.Cost + wait + stall(e, q.Rank, c.PrefillTokens); i == 0 || cost < least {
 			least, best = cost, Decision{Position: i, TokensAhead: work[i].TokensAhead(q.Rank), Wait: wait}
 		}
 	}
