--- a/core/coord/fetch/fetch.go
+++ b/core/coord/fetch/fetch.go
@@ -66,7 +66,7 @@
 // saveShare is the maximum ratio of unique to shared tokens of a prompt that is
 // saved to the store. The store evicts the least recently used entries, and must
 // have room for the shared prefixes that are used within several seconds.
-const saveShare = 0.5
+const saveShare = 1.0
 
 // Decide chooses the source of the shared prefix and whether it is saved. It
 // prefers an engine that has the whole prefix cached, in the target's failure
--- a/core/coord/fetch/fetch_test.go
+++ b/core/coord/fetch/fetch_test.go
@@ -57,7 +57,7 @@
 	is := is.New(t)
 	r := request(0, 0, 0, 0)
 	is.True(fetch.Decide(r).Save)
-	r.UniqueTokens = shared / 2
+	r.UniqueTokens = shared
 	is.True(fetch.Decide(r).Save)
 	r.UniqueTokens++
 	is.True(!fetch.Decide(r).Save)
