--- a/core/state/kvmap/kvmap_test.go
+++ b/core/state/kvmap/kvmap_test.go
@@ -62,3 +62,16 @@
 	is.Equal(len(o.Take("two", time.Minute)), 1)
 	is.Equal(len(o.Take("one", time.Minute)), 0) // removed after subscriberTTL
 }
+
+// Peers expect a prefix at the engine that all of them prefer for it, but not its leading
+// parts, which other prefixes share.
+func TestAddReportsNewLeadingParts(t *testing.T) {
+	is := is.New(t)
+	x := kvmap.New()
+	is.True(!x.Add(placement(1, "")))
+	is.True(x.Add(placement(1, "")))
+	other := placement(1, "")
+	other.Parts = []call.Part{chain[0], {ID: "c", Tokens: 70}}
+	is.True(x.Add(other))             // only its last part is new
+	is.True(!x.Add(placement(2, ""))) // newer weights
+}
