Let one hub read the platform's store for all

Cause: each hub read the store for its domain, 20 calls a second with seven domains, most of them without news.

The first of the hubs by hash reads; its replies to the status messages of the other hubs carry what it has read itself and when it began. A hub without a recent read takes over for its domain after 1.25 s, before the hosts of its domain read for themselves after 1.5 s; it stops once it receives a recent read.

--- a/core/coord/hubs/hubs.go
+++ b/core/coord/hubs/hubs.go
@@ -128,6 +128,16 @@
 	return out
 }
 
+// IsLead reports whether this host is the first by rendezvous hashing among the hubs of
+// all failure domains. It reads the platform's store for the other hubs.
+func (t *Table) IsLead(now time.Duration) bool {
+	own := t.OwnHub(now)
+	score := leadScore(own)
+	return own.Name == t.cfg.Self.Name && lo.EveryBy(t.OtherHubs(now), func(h feed.Host) bool { return score < leadScore(h) })
+}
+
+func leadScore(h feed.Host) uint64 { return xxhash.Sum64String("lead/" + h.Name) }
+
 // selectHub returns the hub of a failure domain: of the hosts that are not skipped
 // and have the fastest link, the first by rendezvous hashing.
 func (t *Table) selectHub(domain string, now time.Duration) (feed.Host, bool) {
--- a/core/coord/hubs/hubs_test.go
+++ b/core/coord/hubs/hubs_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/proto/feed"
@@ -91,3 +92,16 @@
 	is.True(!table.Add(feed.Host{Name: "b", FailureDomain: "d"}))
 	is.Equal(len(table.Reachable(0)), 1)
 }
+
+func TestOneHubLeads(t *testing.T) {
+	is := is.New(t)
+	all := tables(system(7, 5))
+	leads := lo.Filter(all, func(t *hubs.Table, _ int) bool { return t.IsLead(0) })
+	is.Equal(len(leads), 1)
+	lead := leads[0].OwnHub(0)
+	for _, table := range all {
+		table.MarkFailed(lead.Name, 0)
+	}
+	others := lo.Filter(all, func(t *hubs.Table, _ int) bool { return t != leads[0] && t.IsLead(0) })
+	is.Equal(len(others), 1) // the others agree on another one while the lead does not respond
+}
--- a/core/proto/feed/feed.go
+++ b/core/proto/feed/feed.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"cicadastand.dev/core/state/site"
 )
@@ -130,3 +131,13 @@
 		return "refused"
 	}
 }
+
+// ReadMark describes the newest read of a topic, by this host or by another one.
+type ReadMark struct {
+	// Next is the offset after the last record.
+	Next int64
+	// Started is when the read started.
+	Started time.Duration
+	// Own is set if this host made the read.
+	Own bool
+}
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -64,8 +64,11 @@
 	// reaches the endpoint.
 	keyMargin = 500 * time.Millisecond
 	// configReadWait is how long one read of the configuration waits for a new record.
-	// Two reads and the transfer through a hub take less than directAfter.
-	configReadWait = 600 * time.Millisecond
+	// Two reads and the transfer from the reader to a hub take less than takeoverAfter.
+	configReadWait = 500 * time.Millisecond
+	// takeoverAfter is the age of the newest read at which a hub reads the store itself:
+	// early enough for its domain to receive the result before directAfter.
+	takeoverAfter = 1250 * time.Millisecond
 	// directAfter is the age of the newest read at which a host reads the store itself:
 	// early enough to receive a new configuration in time if the store rejects the
 	// reads of its hub.
@@ -209,7 +212,8 @@
 		Clock:           cfg.Clock,
 		Store:           cfg.Platform.Source,
 		Mirror:          h.mirror,
-		IsHub:           h.isHub,
+		Role:            h.storeRole,
+		TakeoverAfter:   takeoverAfter,
 		DirectAfter:     directAfter,
 		PublishedWait:   configReadWait,
 		EntriesInterval: endpointsInterval,
@@ -283,6 +287,19 @@
 // isHub reports whether this host is the hub that reads the store for its failure domain.
 func (h *Host) isHub() bool { return h.share.IsHub() }
 
+// storeRole returns what this host reads the platform's store for. Until it has read the
+// registry of hosts it reads for itself.
+func (h *Host) storeRole() watch.Role {
+	switch {
+	case !h.registrar.HasRead() || !h.isHub():
+		return watch.Member
+	case h.hubs.IsLead(h.cfg.Clock.Boot()):
+		return watch.Reader
+	default:
+		return watch.Hub
+	}
+}
+
 // requestsByEndpoint returns the number of requests in flight at each endpoint.
 func (h *Host) requestsByEndpoint() map[string]int {
 	return lo.MapValues(h.loads.Total(h.cfg.Clock.Boot()), func(w load.Work, _ string) int { return w.Requests() })
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -26,10 +26,10 @@
 // emptyStore is the state of a store that was never read.
 type emptyStore struct{}
 
-func (emptyStore) Published() (int64, time.Duration, bool) { return 0, 0, false }
+func (emptyStore) Published() (feed.ReadMark, bool) { return feed.ReadMark{}, false }
 
-func (emptyStore) Endpoints() (map[string]*site.Endpoint, uint64, time.Duration, bool) {
-	return nil, 0, 0, false
+func (emptyStore) Endpoints() (map[string]*site.Endpoint, uint64, feed.ReadMark, bool) {
+	return nil, 0, feed.ReadMark{}, false
 }
 
 func (emptyStore) Records() []feed.Record { return nil }
--- a/router/share/registry.go
+++ b/router/share/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -37,17 +38,23 @@
 	// per new host, so the reads would grow with the square of the number of hosts.
 	firstReadDelay = time.Second
 	// maxReadWait is how long a read of the registry waits for a new entry.
-	maxReadWait = 20 * time.Second
+	maxReadWait = 30 * time.Second
 	// minReadInterval is the minimum time between two reads.
 	minReadInterval = 2 * time.Second
 )
 
 // Registrar registers this host and discovers the other hosts.
-type Registrar struct{ cfg RegistrarConfig }
+type Registrar struct {
+	cfg  RegistrarConfig
+	read atomic.Bool
+}
 
 // NewRegistrar returns a registrar that has not started.
 func NewRegistrar(cfg RegistrarConfig) *Registrar { return &Registrar{cfg: cfg} }
 
+// HasRead reports whether the registry was read since the start.
+func (r *Registrar) HasRead() bool { return r.read.Load() }
+
 // Run registers this host and follows the registry until ctx ends.
 func (r *Registrar) Run(ctx context.Context) {
 	registered := r.register(ctx)
@@ -69,6 +76,7 @@
 		default:
 			from = h.Next
 			r.addHosts(h)
+			r.read.Store(true)
 		}
 	}
 }
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -39,13 +39,13 @@
 // StoreState is this host's copy of the platform's store, from its own reads or from
 // its hub.
 type StoreState interface {
-	// Published returns the offset after the operator's newest record, and when the
-	// read that confirmed it started. It returns false without a current read.
-	Published() (next int64, started time.Duration, ok bool)
-	// Endpoints returns the endpoint list, its fingerprint and when the read started.
-	// It returns false without a current read, or while the list may contain expired
+	// Published returns the newest read of the operator's records. It returns false
+	// without a current read.
+	Published() (feed.ReadMark, bool)
+	// Endpoints returns the endpoint list, its fingerprint and its newest read. It
+	// returns false without a current read, or while the list may contain expired
 	// entries.
-	Endpoints() (list map[string]*site.Endpoint, fingerprint uint64, started time.Duration, ok bool)
+	Endpoints() (list map[string]*site.Endpoint, fingerprint uint64, read feed.ReadMark, ok bool)
 	// Records returns the operator's newest record of each key.
 	Records() []feed.Record
 	// ReceiveRecords applies records that another host has read up to offset next.
@@ -274,12 +274,13 @@
 	s.cfg.Hubs.MarkReachable(m.to.Name)
 	s.recordPeerContact()
 	if !m.status.GetForDomain() && !m.status.GetDirect() {
-		s.handleReply(m.to.Name, reply, sent)
+		s.handleReply(m.to.Name, reply)
 	}
+	s.receiveReads(reply, sent)
 }
 
-// handleReply applies the hub's reply to a status message sent at sent.
-func (s *Service) handleReply(hub string, in *loadpb.Heard, sent time.Duration) {
+// handleReply applies what the hub's reply to a status message says of the other hosts.
+func (s *Service) handleReply(hub string, in *loadpb.Heard) {
 	now := s.cfg.Clock.Boot()
 	if !s.cfg.Hubs.IsMesh() {
 		if !s.IsHub() {
@@ -291,6 +292,11 @@
 	for _, p := range in.GetPlacements() {
 		s.cfg.CacheIndex.Add(placementFrom(p, now))
 	}
+}
+
+// receiveReads applies the reads of the store in the reply to a status message that was
+// sent at sent.
+func (s *Service) receiveReads(in *loadpb.Heard, sent time.Duration) {
 	if m := in.GetPublished(); m.GetKnown() {
 		if records := in.GetRecords(); len(records) > 0 {
 			s.cfg.Store.ReceiveRecords(lo.Map(records, recordFrom), m.GetNext(), sent-readAge(m))
@@ -307,8 +313,8 @@
 // however late the reply arrives.
 func readAge(m *loadpb.Mark) time.Duration { return time.Duration(m.GetAgeMs()) * time.Millisecond }
 
-// Tell receives the status of a peer. The reply is empty unless this host receives the
-// status as the hub of the peer's domain.
+// Tell receives the status of a peer. Unless this host receives it as the hub of the
+// peer's domain, the reply contains only what this host itself has read from the store.
 func (h *rpcServer) Tell(_ context.Context, in *loadpb.Status) (*loadpb.Heard, error) {
 	s := h.Service
 	name := in.GetHost()
@@ -337,7 +343,9 @@
 		}
 	}
 	if in.GetForDomain() || in.GetDirect() {
-		return &loadpb.Heard{}, nil
+		out := &loadpb.Heard{}
+		s.addReads(out, in, func(m feed.ReadMark) bool { return m.Own })
+		return out, nil
 	}
 	return s.memberReply(in, now), nil
 }
@@ -364,19 +372,26 @@
 		Suspects:   s.suspects(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(in.GetHost(), now), placementMessage),
 	}
-	if next, started, ok := s.cfg.Store.Published(); ok {
-		out.Published = newMark(next, now-started)
-		if next > in.GetPublishedNext() {
+	s.addReads(out, in, func(feed.ReadMark) bool { return true })
+	return out
+}
+
+// addReads adds the reads of the store that include selects to a reply, with the records
+// and the endpoint list if the sender of the status lacks them.
+func (s *Service) addReads(out *loadpb.Heard, in *loadpb.Status, include func(feed.ReadMark) bool) {
+	now := s.cfg.Clock.Boot()
+	if read, ok := s.cfg.Store.Published(); ok && include(read) {
+		out.Published = newMark(read.Next, now-read.Started)
+		if read.Next > in.GetPublishedNext() {
 			out.Records = lo.Map(s.cfg.Store.Records(), recordMessage)
 		}
 	}
-	if list, fingerprint, started, ok := s.cfg.Store.Endpoints(); ok {
-		out.RosterRead = newMark(0, now-started)
+	if list, fingerprint, read, ok := s.cfg.Store.Endpoints(); ok && include(read) {
+		out.RosterRead = newMark(0, now-read.Started)
 		if fingerprint != in.GetRoster() {
 			out.Endpoints = endpointMessages(list)
 		}
 	}
-	return out
 }
 
 func newMark(next int64, age time.Duration) *loadpb.Mark {
@@ -388,10 +403,6 @@
 func (s *Service) hostStatus(to string) *loadpb.Status {
 	out := s.baseStatus(to)
 	out.Work = workMessage(s.cfg.Loads.Own())
-	if _, fingerprint, _, ok := s.cfg.Store.Endpoints(); ok {
-		out.Roster = fingerprint
-	}
-	out.PublishedNext, _, _ = s.cfg.Store.Published()
 	return out
 }
 
@@ -407,7 +418,7 @@
 	s.mu.Lock()
 	leaving := s.leaving
 	s.mu.Unlock()
-	return &loadpb.Status{
+	out := &loadpb.Status{
 		Host:       s.cfg.Self.Name,
 		Domain:     s.cfg.Self.FailureDomain,
 		Leaving:    leaving,
@@ -415,4 +426,11 @@
 		Suspects:   s.suspects(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(hubSubscriber+to, s.cfg.Clock.Boot()), placementMessage),
 	}
+	if _, fingerprint, _, ok := s.cfg.Store.Endpoints(); ok {
+		out.Roster = fingerprint
+	}
+	if read, ok := s.cfg.Store.Published(); ok {
+		out.PublishedNext = read.Next
+	}
+	return out
 }
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -1,13 +1,15 @@
 // Package watch keeps a host's mirror of the platform's store up to date.
 //
-// The hub of a failure domain reads the store for all hosts of the domain, since each
-// read has a cost and most reads return nothing new. Another host reads the store
-// only if the hub has seen newer records than it has, or while it receives no recent
-// read from the hub.
+// One host, the reader, reads the store for all others, since each read has a cost and
+// most reads return nothing new. The hubs of the failure domains receive its reads and
+// pass them on to the hosts of their domains. A hub that receives no recent read takes
+// over for its domain, early enough that the hosts of the domain need not read the
+// store themselves. These do so only if that fails as well.
 package watch
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -43,26 +45,44 @@
 	Clock  Clock
 	Store  Store
 	Mirror *mirror.Mirror
-	// IsHub reports whether this host reads for its failure domain.
-	IsHub func() bool
+	// Role returns what this host reads the store for.
+	Role func() Role
 	// PublishedWait is how long one read waits for a new record of the operator. The
 	// confirmation that an API key is still valid is at most two such reads old.
 	PublishedWait time.Duration
 	// EntriesInterval is the time between two reads of the endpoints' entries.
 	EntriesInterval time.Duration
-	// DirectAfter is the age of the newest known read, of this host or of another
-	// one, after which a host reads the store itself.
-	DirectAfter time.Duration
-	Logger      hclog.Logger
-	Metrics     *metrics.Set
+	// TakeoverAfter and DirectAfter are the ages of the newest known read, of this host
+	// or of another one, after which a hub and any other host read the store themselves.
+	TakeoverAfter time.Duration
+	DirectAfter   time.Duration
+	Logger        hclog.Logger
+	Metrics       *metrics.Set
 }
 
+// Role is what a host reads the platform's store for.
+type Role int
+
+// The roles.
+const (
+	// Member is the role of a host that receives the reads of its hub.
+	Member Role = iota
+	// Hub is the role of a host that receives the reads of the reader, and passes them on
+	// to the hosts of its failure domain.
+	Hub
+	// Reader is the role of the host that reads for all others.
+	Reader
+)
+
+// neverReceived is the start of the newest received read before there is one.
+const neverReceived = time.Duration(math.MinInt64 / 2)
+
 const (
 	// retryPause is the delay after a failed read. Each call has a cost, and faster
 	// retries would add load to a store that rejects requests.
 	retryPause = 400 * time.Millisecond
 	// pollInterval is the time between two checks of whether to read.
-	pollInterval = 200 * time.Millisecond
+	pollInterval = 100 * time.Millisecond
 	// outageAfter is the time without a read after which entries may have expired
 	// because the store was unavailable, so that endpoints could not renew them.
 	outageAfter = 2500 * time.Millisecond
@@ -94,29 +114,46 @@
 
 // readMark is the newest read of a topic, by this host or by another one.
 type readMark struct {
-	known   bool
-	next    int64
-	started time.Duration
+	feed.ReadMark
+	known bool
+	// received is when the newest read that another host has passed on was started.
+	received time.Duration
 	// failed is set if the last read by this host failed, so that the state is no
 	// longer known to be current.
 	failed bool
 }
 
+// update records a successful read.
+func (m *readMark) update(read feed.ReadMark) {
+	m.ReadMark, m.known, m.failed = read, true, false
+}
+
 // New returns a watcher that has not started.
 func New(cfg Config) *Watcher {
 	return &Watcher{
-		cfg:        cfg,
-		failures:   cfg.Metrics.NewCounter("cicada_store_read_failures_total"),
-		reads:      cfg.Metrics.NewCounter("cicada_store_reads_total"),
-		newRecords: make(chan struct{}, 1),
-		records:    make(map[string][]byte),
-		endpoints:  newEndpointList(),
+		cfg:         cfg,
+		failures:    cfg.Metrics.NewCounter("cicada_store_read_failures_total"),
+		reads:       cfg.Metrics.NewCounter("cicada_store_reads_total"),
+		newRecords:  make(chan struct{}, 1),
+		records:     make(map[string][]byte),
+		endpoints:   newEndpointList(),
+		published:   readMark{received: neverReceived},
+		entriesMark: readMark{received: neverReceived},
 	}
 }
 
-// shouldRead reports whether this host reads the store itself.
-func (w *Watcher) shouldRead(m readMark) bool {
-	return !m.known || m.failed || w.cfg.IsHub() || w.cfg.Clock.Boot()-m.started > w.cfg.DirectAfter
+// shouldRead reports whether this host reads the store itself. interval is the time
+// between the reads of a host that reads for others. A hub reads while it receives no
+// recent read of another host, whatever it has read itself.
+func (w *Watcher) shouldRead(m readMark, role Role, interval time.Duration) bool {
+	if !m.known || m.failed {
+		return true
+	}
+	now := w.cfg.Clock.Boot()
+	if role == Member {
+		return now-m.Started > w.cfg.DirectAfter
+	}
+	return (role == Reader || now-m.received > w.cfg.TakeoverAfter) && now-m.Started >= interval
 }
 
 func (w *Watcher) publishedMark() readMark {
@@ -134,7 +171,12 @@
 	for {
 		m := w.publishedMark()
 		wait := w.cfg.PublishedWait
-		if !w.shouldRead(m) {
+		role := w.cfg.Role()
+		if role == Hub && !m.Own {
+			// The hosts of the domain need a current read at once.
+			wait = 0
+		}
+		if !w.shouldRead(m, role, 0) {
 			select {
 			case <-w.newRecords:
 				wait = 0
@@ -144,7 +186,7 @@
 				return
 			}
 		}
-		from := m.next
+		from := m.Next
 		if !m.known || trimmed {
 			from = feed.Newest
 		}
@@ -163,7 +205,7 @@
 			w.pauseAfter(ctx, err)
 			continue
 		}
-		w.applyPublished(p, started)
+		w.applyPublished(p, started, true)
 	}
 }
 
@@ -178,7 +220,7 @@
 	_ = clock.Sleep(ctx, w.cfg.Clock, retryPause)
 }
 
-func (w *Watcher) applyPublished(p feed.Published, started time.Duration) {
+func (w *Watcher) applyPublished(p feed.Published, started time.Duration, own bool) {
 	for _, fault := range p.Faults {
 		w.cfg.Logger.Warn("ignored invalid record of the operator", "error", fault)
 	}
@@ -192,13 +234,13 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.published.known && p.Next < w.published.next {
+	if w.published.known && p.Next < w.published.Next {
 		return
 	}
 	for _, r := range p.Records {
 		w.records[r.Key] = r.Value
 	}
-	w.published = readMark{known: true, next: p.Next, started: started}
+	w.published.update(feed.ReadMark{Next: p.Next, Started: started, Own: own})
 	w.cfg.Mirror.MarkConfigCurrent(started)
 }
 
@@ -212,19 +254,19 @@
 // ReceiveRecords applies the operator's newest records, which another host has read up
 // to offset next.
 func (w *Watcher) ReceiveRecords(records []feed.Record, next int64, started time.Duration) {
-	if m := w.publishedMark(); m.known && next <= m.next {
+	if m := w.publishedMark(); m.known && next <= m.Next {
 		return
 	}
 	p := w.cfg.Store.Decode(records)
 	p.Next = next
-	w.applyPublished(p, started)
+	w.applyPublished(p, started, false)
 }
 
-// Published returns the offset after the operator's newest record, and when the read
-// that confirmed it started. It returns false without a current read.
-func (w *Watcher) Published() (next int64, started time.Duration, ok bool) {
+// Published returns the newest read of the operator's records. It returns false without
+// a current read.
+func (w *Watcher) Published() (feed.ReadMark, bool) {
 	m := w.publishedMark()
-	return m.next, m.started, m.known && !m.failed
+	return m.ReadMark, m.known && !m.failed
 }
 
 // ReceivePublished applies the result of another host's read. If it ended at the
@@ -233,29 +275,30 @@
 func (w *Watcher) ReceivePublished(next int64, started time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.published.received = max(w.published.received, started)
 	switch {
-	case !w.published.known || next > w.published.next:
+	case !w.published.known || next > w.published.Next:
 		select {
 		case w.newRecords <- struct{}{}:
 		default:
 		}
-	case next == w.published.next && started > w.published.started:
-		w.published.started, w.published.failed = started, false
+	case next == w.published.Next && started > w.published.Started:
+		w.published.update(feed.ReadMark{Next: next, Started: started})
 		w.cfg.Mirror.MarkConfigCurrent(started)
 	}
 }
 
 // RunEntries polls the endpoints' entries until ctx ends.
 func (w *Watcher) RunEntries(ctx context.Context) {
-	tick := w.cfg.Clock.Subscribe(w.cfg.EntriesInterval)
+	tick := w.cfg.Clock.Subscribe(pollInterval)
 	defer tick.Stop()
 	status := w.newStoreStatus("endpoints")
 	for {
 		w.mu.Lock()
 		m := w.entriesMark
 		w.mu.Unlock()
-		if w.shouldRead(m) {
-			w.readEntries(ctx, m.next, status)
+		if w.shouldRead(m, w.cfg.Role(), w.cfg.EntriesInterval) {
+			w.readEntries(ctx, m.Next, status)
 		}
 		select {
 		case <-tick.C():
@@ -283,7 +326,7 @@
 	w.mu.Lock()
 	w.entriesMark.failed = true
 	if feed.IsErrTrimmed(err) {
-		w.entriesMark.next = 0
+		w.entriesMark.Next = 0
 	}
 	w.mu.Unlock()
 	w.pauseAfter(ctx, err)
@@ -295,7 +338,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.entriesMark = readMark{known: true, next: e.Next, started: started}
+	w.entriesMark.update(feed.ReadMark{Next: e.Next, Started: started, Own: true})
 	w.updateMirror(w.endpoints.apply(e, w.cfg.Clock.Boot()), e.Next)
 }
 
@@ -312,13 +355,13 @@
 	}
 }
 
-// Endpoints returns the endpoint list, its fingerprint and when the read started. It
-// returns false without a current read, and also while the list keeps expired entries:
+// Endpoints returns the endpoint list, its fingerprint and its newest read. It returns
+// false without a current read, and also while the list keeps expired entries:
 // hosts that could read all the time know better which endpoints are gone.
-func (w *Watcher) Endpoints() (list map[string]*site.Endpoint, fingerprint uint64, started time.Duration, ok bool) {
+func (w *Watcher) Endpoints() (list map[string]*site.Endpoint, fingerprint uint64, read feed.ReadMark, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.cfg.Mirror.View().Endpoints, w.fingerprint, w.entriesMark.started, w.entriesMark.known && !w.entriesMark.failed && !w.endpoints.keepsExpired(w.cfg.Clock.Boot())
+	return w.cfg.Mirror.View().Endpoints, w.fingerprint, w.entriesMark.ReadMark, w.entriesMark.known && !w.entriesMark.failed && !w.endpoints.keepsExpired(w.cfg.Clock.Boot())
 }
 
 // ReceiveEndpoints applies the endpoint list of another host; list is nil if it equals
@@ -326,12 +369,13 @@
 func (w *Watcher) ReceiveEndpoints(list map[string]*site.Endpoint, started time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.entriesMark.known && started <= w.entriesMark.started {
+	w.entriesMark.received = max(w.entriesMark.received, started)
+	if w.entriesMark.known && started <= w.entriesMark.Started {
 		return
 	}
 	// The end offset of that read is unknown, so the next read by this host requests
 	// the current entries of all endpoints instead of the records since an offset.
-	w.entriesMark = readMark{known: true, started: started}
+	w.entriesMark.update(feed.ReadMark{Started: started})
 	if list != nil {
 		w.updateMirror(w.endpoints.replace(list, w.cfg.Clock.Boot()), 0)
 	}
--- a/router/watch/watch_test.go
+++ b/router/watch/watch_test.go
@@ -45,7 +45,7 @@
 func watcher(t *testing.T) (*Watcher, *mirror.Mirror) {
 	local := mirror.New()
 	return New(Config{
-		Clock: clock.New(), Store: rejectingStore{t: t}, Mirror: local, IsHub: func() bool { return false },
+		Clock: clock.New(), Store: rejectingStore{t: t}, Mirror: local, Role: func() Role { return Member },
 		Logger: hclog.NewNullLogger(), Metrics: metrics.NewSet(),
 	}), local
 }
@@ -63,10 +63,9 @@
 	is.Equal(local.View().Config.Version, int64(1))
 	w.ReceiveRecords(record(3), 7, 12*time.Second)
 	is.Equal(local.View().Config.Version, int64(3))
-	next, started, ok := w.Published()
+	read, ok := w.Published()
 	is.True(ok)
-	is.Equal(next, int64(7))
-	is.Equal(started, 12*time.Second)
+	is.Equal(read, feed.ReadMark{Next: 7, Started: 12 * time.Second})
 	is.Equal(len(w.Records()), 1) // a hub passes these on
 	age, known := local.ConfigAge(15 * time.Second)
 	is.True(known)
@@ -79,14 +78,49 @@
 	w.ReceiveRecords(record(3), 7, 10*time.Second)
 	w.ReceiveRecords(record(2), 6, 20*time.Second) // from a hub without the newest record
 	is.Equal(local.View().Config.Version, int64(3))
-	next, started, _ := w.Published()
-	is.Equal(next, int64(7))
-	is.Equal(started, 10*time.Second)
+	want := feed.ReadMark{Next: 7, Started: 10 * time.Second}
+	read, _ := w.Published()
+	is.Equal(read, want)
 	w.ReceiveRecords(record(3), 7, 5*time.Second) // same offset, older read
-	_, started, _ = w.Published()
-	is.Equal(started, 10*time.Second)
-	w.applyPublished(feed.Published{Next: 6}, 20*time.Second) // a read of this host that started before the newest record
-	next, started, _ = w.Published()
-	is.Equal(next, int64(7))
-	is.Equal(started, 10*time.Second)
+	read, _ = w.Published()
+	is.Equal(read, want)
+	w.applyPublished(feed.Published{Next: 6}, 20*time.Second, true) // a read of this host that started before the newest record
+	read, _ = w.Published()
+	is.Equal(read, want)
+}
+
+// A hub reads the store only while it receives no recent read of the reader, however
+// recent its own reads are. Otherwise hubs that have taken over once would never stop.
+func TestAHubReadsOnlyWhileItReceivesNoRecentRead(t *testing.T) {
+	is := is.New(t)
+	w, _ := watcher(t)
+	w.cfg.TakeoverAfter, w.cfg.DirectAfter = 1250*time.Millisecond, 1500*time.Millisecond
+	now := w.cfg.Clock.Boot()
+	w.ReceiveRecords(record(1), 5, now-2*time.Second)
+	is.True(w.shouldRead(w.publishedMark(), Hub, 0))
+	w.applyPublished(feed.Published{Next: 5}, now, true)
+	is.True(w.shouldRead(w.publishedMark(), Hub, 0))            // no other host reads for it
+	is.True(!w.shouldRead(w.publishedMark(), Hub, time.Minute)) // but not more often than the reader would
+	is.True(!w.shouldRead(w.publishedMark(), Member, 0))        // its own read is recent
+	w.ReceivePublished(5, now-time.Second)                      // older than its own, but recent
+	is.True(!w.shouldRead(w.publishedMark(), Hub, 0))
+	is.True(w.shouldRead(w.publishedMark(), Reader, 0))
+}
+
+// Hosts pass on to other failure domains only what they have read themselves, so that no
+// read is passed around in circles.
+func TestReceivedReadsAreNotOwn(t *testing.T) {
+	is := is.New(t)
+	w, _ := watcher(t)
+	now := w.cfg.Clock.Boot()
+	w.applyPublished(feed.Published{Next: 5}, now, true)
+	w.applyEntries(feed.Entries{Complete: true, Endpoints: endpoints("a"), Next: 3}, now)
+	published, _ := w.Published()
+	_, _, entries, _ := w.Endpoints()
+	is.True(published.Own && entries.Own)
+	w.ReceivePublished(5, now+time.Second)
+	w.ReceiveEndpoints(nil, now+time.Second)
+	published, _ = w.Published()
+	_, _, entries, _ = w.Endpoints()
+	is.True(!published.Own && !entries.Own)
 }
