--- a/router/conns/conns.go
+++ b/router/conns/conns.go
@@ -32,8 +32,16 @@
 	// maxMismatched is the number of responses to other requests that are skipped
 	// before a connection is closed.
 	maxMismatched = 2
-	// maxDiscard limits the body of a response that is skipped.
+	// maxDiscard limits the body of a response that is skipped, in bytes.
 	maxDiscard = 256 << 10
+	// maxHead limits the head of a response, in bytes, and maxInterim the number of
+	// interim responses before it.
+	maxHead    = 64 << 10
+	maxInterim = 8
+	// maxDrain and drainTimeout limit what is read of a response that is not needed, in
+	// order to reuse its connection.
+	maxDrain     = 64 << 10
+	drainTimeout = 100 * time.Millisecond
 )
 
 // ErrUnsent is returned if no byte of the request was sent.
@@ -111,6 +119,7 @@
 // clientConn is a connection to an endpoint.
 type clientConn struct {
 	conn   net.Conn
+	head   *headLimiter
 	reader *bufio.Reader
 	target Target
 	idleAt time.Time
@@ -179,17 +188,58 @@
 	return b.Bytes()
 }
 
-var errMismatched = errors.New("answers on the channel belong to other requests")
+var (
+	errMismatched  = errors.New("answers on the channel belong to other requests")
+	errHeadTooLong = fmt.Errorf("response head is longer than %d bytes", maxHead)
+	errInterim     = fmt.Errorf("more than %d interim responses", maxInterim)
+	errDrain       = errors.New("response body has no end within the limits")
+)
+
+// headLimiter reads from a connection. While it is limited, it fails after maxHead bytes,
+// since an endpoint may send a head without end.
+type headLimiter struct {
+	conn    net.Conn
+	limited bool
+	left    int
+}
+
+func (l *headLimiter) limit(on bool) { l.limited, l.left = on, maxHead }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(to []byte) (int, error) {
+	if !l.limited {
+		return l.conn.Read(to)
+	}
+	if l.left == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.conn.Read(to[:min(len(to), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// readHead reads the head of a response, which may follow interim ones.
+func (c *clientConn) readHead(method string) (*http.Response, error) {
+	c.head.limit(true)
+	defer c.head.limit(false)
+	for range maxInterim + 1 {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errInterim
+}
 
 // readResponse reads responses until the one that belongs to the request.
 func (c *clientConn) readResponse(req Request, matches IsResponseTo) (*http.Response, error) {
 	for mismatched := 0; mismatched <= maxMismatched; {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		resp, err := c.readHead(req.Method)
 		if err != nil {
-			return nil, fmt.Errorf("read answer: %w", err)
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
+			return nil, err
 		}
 		if matches(resp.Header, req.ID) {
 			return resp, nil
@@ -212,6 +262,23 @@
 	return n, err
 }
 
+// Drain reads the rest of a body that is not needed, so that the connection can be
+// reused. It returns an error if the body is long or slow; Close then closes the
+// connection.
+func (r *Response) Drain() error {
+	ctx, cancel := clock.WithTimeout(context.Background(), r.pool.cfg.Clock, drainTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = r.cc.conn.Close() })
+	defer stop()
+	if _, err := io.Copy(io.Discard, io.LimitReader(r, maxDrain)); err != nil {
+		return fmt.Errorf("read unneeded body: %w", err)
+	}
+	if !r.complete {
+		return errDrain
+	}
+	return nil
+}
+
 // Close returns the connection to the pool if the body was read to its end and no
 // further bytes follow. Otherwise it closes the connection.
 func (r *Response) Close() {
@@ -331,7 +398,8 @@
 		return nil, fmt.Errorf("open channel to %s: %w", to.Address, err)
 	}
 	p.opened.Add(1)
-	return &clientConn{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), target: to}, nil
+	head := &headLimiter{conn: conn}
+	return &clientConn{conn: conn, head: head, reader: bufio.NewReaderSize(head, readBuffer), target: to}, nil
 }
 
 // Sweep closes the idle connections that are too old to be reused, and those to
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -263,7 +263,8 @@
 		j.outcome, j.reason = "broken-off", fault.reason
 		panic(http.ErrAbortHandler)
 	case j.lastResponse != nil:
-		j.writeResponse(j.lastResponse)
+		// The body is buffered, so it is complete.
+		_ = j.writeResponse(j.lastResponse)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		j.reject(errTimeout)
 	default:
--- a/stand/server/server.go
+++ b/stand/server/server.go
@@ -4,9 +4,11 @@
 package server
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -45,6 +47,8 @@
 	// holders has the lease holder and fencing token of each of these orders.
 	holders []string
 	runs    []Run
+	// written is the number of bytes of long and endless bodies that were sent.
+	written int
 	// behaviorOf chooses the behavior for a request; nil responds to each.
 	behaviorOf func(r *http.Request) Behavior
 }
@@ -68,6 +72,20 @@
 	BreakConnection
 	// RejectUnmarked executes the request and returns 503 without the header of Reject.
 	RejectUnmarked
+	// SendLongBody executes the request and responds with LongBody bytes.
+	SendLongBody
+	// BreakLongBody is like SendLongBody, but closes the connection within the body.
+	BreakLongBody
+	// SendEndlessBody executes the request and responds with a body, or in a stream with
+	// one event, that does not end until the caller closes the connection.
+	SendEndlessBody
+)
+
+const (
+	// LongBody is the length of a long response body in bytes.
+	LongBody = 24 << 20
+	// brokenBody is how much of it is sent before the connection is closed.
+	brokenBody = 2 << 20
 )
 
 // New returns an endpoint with version 1 of its weights.
@@ -87,6 +105,13 @@
 	return append([]Run{}, e.runs...)
 }
 
+// Written returns how many bytes of long and endless bodies the endpoint has sent.
+func (e *Endpoint) Written() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.written
+}
+
 // Version returns the version of the loaded weights.
 func (e *Endpoint) Version() int {
 	e.mu.Lock()
@@ -209,6 +234,14 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	case behavior == RejectUnmarked:
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case behavior == SendLongBody:
+		h.Set("Content-Length", strconv.Itoa(LongBody))
+		e.writeBody(w, LongBody)
+	case behavior == BreakLongBody:
+		e.writeBody(w, brokenBody)
+		panic(http.ErrAbortHandler)
+	case behavior == SendEndlessBody:
+		e.writeBody(w, math.MaxInt)
 	case e.cfg.Events > 0:
 		e.stream(w, r, behavior)
 	case behavior == BreakConnection:
@@ -218,6 +251,21 @@
 	}
 }
 
+// writeBody sends n bytes, or as many as the caller takes.
+func (e *Endpoint) writeBody(w io.Writer, n int) {
+	block := bytes.Repeat([]byte("0123456789abcdef"), 4<<10)
+	for n > 0 {
+		sent, err := w.Write(block[:min(n, len(block))])
+		e.mu.Lock()
+		e.written += sent
+		e.mu.Unlock()
+		if err != nil {
+			return
+		}
+		n -= sent
+	}
+}
+
 // eventsBeforeBreak is the number of events that a stream sends with BreakConnection;
 // it breaks in the middle of the next one.
 const eventsBeforeBreak = 2
