--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -118,7 +118,7 @@
 		engines[i] = place.Engine{
 			ID:           e.ID,
 			Slots:        e.Slots,
-			PrefillRate:  j.r.prefill.rate(e.ID),
+			PrefillRate:  j.r.prefill.rate(j.serviceName, e.ID),
 			Work:         work[e.ID],
 			CachedTokens: j.r.cfg.CacheIndex.CachedTokens(e.ID, loaded[i].version, j.cacheSalt(), j.params.Shared(), since),
 			CanFetch:     loaded[i].valid,
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -132,7 +132,7 @@
 	if !j.isModel() {
 		return
 	}
-	j.r.prefill.observe(c.endpoint.ID, c.tokensAhead+c.prefillTokens, j.r.cfg.Clock.Now().Sub(sent))
+	j.r.prefill.observe(j.serviceName, c.endpoint.ID, c.tokensAhead+c.prefillTokens, j.r.cfg.Clock.Now().Sub(sent))
 }
 
 // writeEvent forwards one event to the client, after the response header if it is
