Accept no unidentified response on a reused connection

Looked for as operators met it: a late second copy of an answer went to the next caller. A copy that names its request was skipped; one without an ID was taken for the next answer, which the new test shows. Such a response is now taken only as the first one on a connection.

--- a/router/conns/conns.go
+++ b/router/conns/conns.go
@@ -125,6 +125,8 @@
 	idleAt time.Time
 	// keepAlive is the idle timeout that the endpoint announced; 0 if it did not.
 	keepAlive time.Duration
+	// reused is set once a request was completed on the connection.
+	reused bool
 }
 
 // Response is an endpoint's response, whose body has not been read yet. Close must be
@@ -142,7 +144,9 @@
 }
 
 // IsResponseTo reports whether a response header belongs to the request with an ID.
-type IsResponseTo func(h http.Header, id string) bool
+// reused is set if other requests were sent on the connection before: then the response
+// may also be a late copy of one of theirs.
+type IsResponseTo func(h http.Header, id string, reused bool) bool
 
 // Send sends a request once and reads the header of the response. If it returns an
 // ErrUnsent, the endpoint can't have run the request; after any other error it may
@@ -241,7 +245,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if matches(resp.Header, req.ID) {
+		if matches(resp.Header, req.ID, c.reused) {
 			return resp, nil
 		}
 		mismatched++
@@ -288,6 +292,7 @@
 		return
 	}
 	r.cc.keepAlive = parseKeepAlive(r.Header)
+	r.cc.reused = true
 	r.pool.release(r.cc)
 }
 
--- a/router/conns/conns_test.go
+++ b/router/conns/conns_test.go
@@ -82,7 +82,9 @@
 	return p
 }
 
-func isResponseTo(h http.Header, id string) bool { return h.Get("Id") == id }
+func isResponseTo(h http.Header, id string, reused bool) bool {
+	return h.Get("Id") == id || h.Get("Id") == "" && !reused
+}
 
 func request(id string) conns.Request {
 	return conns.Request{ID: id, Method: "POST", URI: "/p?q", Host: "h", Header: http.Header{}, Body: []byte("body"), Once: true}
--- /dev/null
+++ b/router/hosted/copy_test.go
@@ -0,0 +1,77 @@
+package hosted_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/stand/server"
+)
+
+// copyServer is an endpoint that answers each request, and sends a copy of its answer
+// without an ID where the answer to the next request on the connection is due.
+type copyServer struct{ listener net.Listener }
+
+func (s *copyServer) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.loop(conn)
+	}
+}
+
+func (s *copyServer) loop(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	last := ""
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		id := req.Header.Get("X-Request-Id")
+		answer := func(head, body string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Response-Seal: s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		}
+		out := answer("X-Request-Id: "+id+"\r\n", "to "+id)
+		if last != "" {
+			out = answer("", "to "+last) + out
+		}
+		last = id
+		if _, err := io.WriteString(conn, out); err != nil {
+			return
+		}
+	}
+}
+
+// The next caller on a connection must not get a late copy of the previous answer, also if
+// the copy does not say to which request it belongs.
+func TestLateCopyWithoutIDIsNotTheNextAnswer(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	c.startEndpoint("i-1", "shop", "zone-0", server.Config{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := &copyServer{listener: l}
+	go s.run()
+	t.Cleanup(func() { _ = l.Close() })
+	c.address["i-1"] = l.Addr().String()
+	c.putEndpoint("i-1", "shop", "zone-0", "ready", 2)
+	c.startServing()
+	for n := range 5 {
+		id := fmt.Sprint("r", n)
+		got := c.send(c.hosts[0], "POST", "/order/", id, "key", "x")
+		is.Equal(got.status, 200)
+		is.Equal(got.body, "to "+id)
+	}
+}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -95,11 +95,11 @@
 	}
 }
 
-// isResponseTo reports whether a response belongs to the request with an ID. A
-// response without an ID is accepted.
-func (j *job) isResponseTo(h http.Header, id string) bool {
+// isResponseTo reports whether a response belongs to the request with an ID. A response
+// without an ID is accepted as the first one on a connection.
+func (j *job) isResponseTo(h http.Header, id string, reused bool) bool {
 	got := j.r.cfg.Codec.DecodeResponse(h).ID
-	return got == id || got == ""
+	return got == id || got == "" && !reused
 }
 
 // request returns the request that is sent to the chosen endpoint.
