--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -74,6 +74,9 @@
 	Reader
 )
 
+// String returns the name of the role in logs.
+func (r Role) String() string { return [...]string{"member", "hub", "reader"}[r] }
+
 // neverReceived is the start of the newest received read before there is one.
 const neverReceived = time.Duration(math.MinInt64 / 2)
 
@@ -167,11 +170,15 @@
 	tick := w.cfg.Clock.Subscribe(pollInterval)
 	defer tick.Stop()
 	status := w.newStoreStatus("configuration")
-	trimmed := false
+	trimmed, readsForOthers := false, false
 	for {
 		m := w.publishedMark()
 		wait := w.cfg.PublishedWait
 		role := w.cfg.Role()
+		if reads := role != Member && w.shouldRead(m, role, 0); reads != readsForOthers {
+			readsForOthers = reads
+			w.logReadsForOthers(reads, role, m)
+		}
 		if role == Hub && !m.Own {
 			// The hosts of the domain need a current read at once.
 			wait = 0
@@ -209,6 +216,15 @@
 	}
 }
 
+// logReadsForOthers logs that this host starts or stops to read the store for others.
+func (w *Watcher) logReadsForOthers(reads bool, role Role, m readMark) {
+	args := []any{"on", reads, "role", role.String()}
+	if m.received != neverReceived {
+		args = append(args, "received-age-ms", (w.cfg.Clock.Boot() - m.received).Milliseconds())
+	}
+	w.cfg.Logger.Info("store reads for other hosts", args...)
+}
+
 // pauseAfter waits after a failed read. It does not wait if the log was trimmed, since
 // the next read starts at another offset.
 func (w *Watcher) pauseAfter(ctx context.Context, err error) {
