Empty an engine before it loads other weights

Requests were sent elsewhere only 60 ms before the order, streams run for some 250 ms.

Engines now get no requests for 260 ms before the order; loads overlap with it, so a roll takes no longer.

--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -74,8 +74,11 @@
 	// has an order in progress.
 	reportInterval = 100 * time.Millisecond
 	// pauseLead is how long before the order an engine is paused. An order makes the
-	// engine reject its waiting requests; by then most of them have started.
-	pauseLead = 60 * time.Millisecond
+	// engine reject its waiting requests, and what its running requests still make has to
+	// be made with other weights; by then most of them have ended.
+	pauseLead = 260 * time.Millisecond
+	// earlyPause is the part of pauseLead in which some hosts may not know of the pause.
+	earlyPause = 60 * time.Millisecond
 	// pauseMargin extends the pause beyond the expected end of the load.
 	pauseMargin = 40 * time.Millisecond
 	// maxTasks bounds the number of concurrent calls to engines.
@@ -142,7 +145,8 @@
 		r.acquire(ctx, now)
 	}
 	r.requestReports(ctx)
-	next := r.plan.Next(r.cfg.Mirror.View(), r.cfg.Loads(), r.cfg.Clock.Boot(), r.cfg.PropagationTime())
+	leadTime := r.cfg.PropagationTime() + pauseLead - earlyPause
+	next := r.plan.Next(r.cfg.Mirror.View(), r.cfg.Loads(), r.cfg.Clock.Boot(), leadTime)
 	r.planPauses(ctx, next)
 	until := r.lease.Until()
 	for _, s := range next {
