Name the records of a host in its status also after a failed read

Found by reading the diff: a host whose last read of the store had failed said that it had no records, so its hub sent them all again with each reply.

--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -284,11 +284,11 @@
 	return pausePropagationHubs
 }
 
-// isHub reports whether this host is the hub that reads the store for its failure domain.
+// isHub reports whether this host is the hub of its failure domain.
 func (h *Host) isHub() bool { return h.share.IsHub() }
 
 // storeRole returns what this host reads the platform's store for. Until it has read the
-// registry of hosts it reads for itself.
+// registry of hosts it reads for itself, as it does not know which host is the reader.
 func (h *Host) storeRole() watch.Role {
 	switch {
 	case !h.registrar.HasRead() || !h.isHub():
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -429,8 +429,8 @@
 	if _, fingerprint, _, ok := s.cfg.Store.Endpoints(); ok {
 		out.Roster = fingerprint
 	}
-	if read, ok := s.cfg.Store.Published(); ok {
-		out.PublishedNext = read.Next
-	}
+	// What this host has of the records does not depend on whether its last read failed.
+	read, _ := s.cfg.Store.Published()
+	out.PublishedNext = read.Next
 	return out
 }
--- /dev/null
+++ b/router/share/status_test.go
@@ -0,0 +1,41 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"cicadastand.dev/core/coord/hubs"
+	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/pause"
+	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/proto/feed"
+	"cicadastand.dev/core/state/clock"
+	"cicadastand.dev/core/state/kvmap"
+	"cicadastand.dev/core/state/site"
+)
+
+// failingStore is the state of a store whose last read failed.
+type failingStore struct{ StoreState }
+
+func (failingStore) Published() (feed.ReadMark, bool) { return feed.ReadMark{Next: 7}, false }
+
+func (failingStore) Endpoints() (map[string]*site.Endpoint, uint64, feed.ReadMark, bool) {
+	return nil, 0, feed.ReadMark{}, false
+}
+
+// While the store rejects a host, its hub does not send it the records again that it has:
+// a configuration with many routes would fill a slow link.
+func TestStatusNamesRecordsOfAFailedRead(t *testing.T) {
+	is := is.New(t)
+	self := feed.Host{Name: "h", Address: "127.0.0.1:1"}
+	s := New(Config{
+		Clock: clock.Real{}, Self: self, Hubs: hubs.New(hubs.Config{Self: self}), Store: failingStore{}, Loads: load.New(time.Second),
+		Poison: poison.New(poison.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(),
+		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: metrics.NewSet(),
+	})
+	is.Equal(s.baseStatus("hub").GetPublishedNext(), int64(7))
+}
