--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -179,8 +179,8 @@
 			readsForOthers = reads
 			w.logReadsForOthers(reads, role, m)
 		}
-		if role == Hub && !m.Own {
-			// The hosts of the domain need a current read at once.
+		if m.failed || role == Hub && !m.Own {
+			// A current read is needed at once: keys can't be used without one.
 			wait = 0
 		}
 		if !w.shouldRead(m, role, 0) {
@@ -399,27 +399,23 @@
 
 // storeStatus logs when reads of the store start to fail and when they succeed again.
 type storeStatus struct {
-	w           *Watcher
-	name        string
-	failing     bool
-	lastSuccess time.Duration
+	w            *Watcher
+	name         string
+	failing      bool
+	failingSince time.Duration
 }
 
-func (w *Watcher) newStoreStatus(name string) *storeStatus {
-	return &storeStatus{w: w, name: name, lastSuccess: w.cfg.Clock.Boot()}
-}
+func (w *Watcher) newStoreStatus(name string) *storeStatus { return &storeStatus{w: w, name: name} }
 
 func (s *storeStatus) record(err error) {
 	now := s.w.cfg.Clock.Boot()
 	failed := err != nil && !feed.IsErrTrimmed(err)
 	switch {
 	case failed && !s.failing:
+		s.failingSince = now
 		s.w.cfg.Logger.Warn("store reads are failing", "reads", s.name, "error", err)
 	case !failed && s.failing:
-		s.w.cfg.Logger.Info("store reads succeed again", "reads", s.name, "away-ms", (now - s.lastSuccess).Milliseconds())
+		s.w.cfg.Logger.Info("store reads succeed again", "reads", s.name, "away-ms", (now - s.failingSince).Milliseconds())
 	}
 	s.failing = failed
-	if !failed {
-		s.lastSuccess = now
-	}
 }
--- a/router/watch/watch_test.go
+++ b/router/watch/watch_test.go
@@ -124,3 +124,35 @@
 	_, _, entries, _ = w.Endpoints()
 	is.True(!published.Own && !entries.Own)
 }
+
+// outageStore fails the first reads and records for how long each read would wait.
+type outageStore struct {
+	rejectingStore
+	failures int
+	waits    []time.Duration
+	done     context.CancelFunc
+}
+
+func (s *outageStore) Published(_ context.Context, _ int64, wait time.Duration) (feed.Published, error) {
+	s.waits = append(s.waits, wait)
+	if len(s.waits) <= s.failures {
+		return feed.Published{}, errRejected
+	}
+	if len(s.waits) == s.failures+2 {
+		s.done()
+	}
+	return feed.Published{Next: 1}, nil
+}
+
+// After an outage hosts need a current read before they accept keys again. A read that
+// waits for a new record would give it half a second later.
+func TestReadsAfterAFailureDoNotWait(t *testing.T) {
+	is := is.New(t)
+	w, _ := watcher(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &outageStore{failures: 2, done: cancel}
+	w.cfg.Store, w.cfg.PublishedWait = s, 500*time.Millisecond
+	w.cfg.Role = func() Role { return Reader }
+	w.RunPublished(ctx)
+	is.Equal(s.waits, []time.Duration{500 * time.Millisecond, 0, 0, 500 * time.Millisecond})
+}
