--- a/core/coord/place/stall_test.go
+++ b/core/coord/place/stall_test.go
@@ -132,7 +132,7 @@
 		if now > replaySpan/3 && now < 2*replaySpan/3 {
 			factor = 2
 		}
-		place := func(p *replayPrompt) {
+		send := func(p *replayPrompt) {
 			at := place.Choose(place.Prompt{Tokens: p.tokens, Rank: p.rank, Key: fmt.Sprint(rng.IntN(200))}, list, 16).Index
 			p.left, p.arrived = p.tokens, now
 			engines[at].waiting = append(engines[at].waiting, p)
@@ -141,12 +141,12 @@
 			list[at].Work = list[at].Work.Add(added)
 		}
 		if rng.Float64() < factor*longPerSecond/1000 {
-			place(&replayPrompt{rank: 4, tokens: min(30_000, int(1500+5000*rng.ExpFloat64())), output: 9})
+			send(&replayPrompt{rank: 4, tokens: min(30_000, int(1500+5000*rng.ExpFloat64())), output: 9})
 		}
 		if rng.Float64() < factor*questions/1000 {
 			p := &replayPrompt{rank: 3, tokens: 100 + rng.IntN(1000), output: 1 + rng.IntN(97)}
 			asked = append(asked, p)
-			place(p)
+			send(p)
 		}
 	}
 	late := 0
