--- a/core/trans/httpd/httpd.go
+++ b/core/trans/httpd/httpd.go
@@ -14,12 +14,15 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"cicadastand.dev/core/state/clock"
 )
 
 // Config configures a server.
 type Config struct {
 	Address netip.AddrPort
 	Handler http.Handler
+	Clock   clock.Service
 	Logger  hclog.Logger
 	// TLS is nil for plain HTTP.
 	TLS *tls.Config
@@ -54,7 +57,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Address, err)
 	}
-	s := &Server{cfg: cfg, listener: &listener{TCPListener: tcp.(*net.TCPListener)}, done: make(chan struct{})}
+	s := &Server{cfg: cfg, listener: &listener{TCPListener: tcp.(*net.TCPListener), clock: cfg.Clock}, done: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           cfg.Handler,
 		MaxHeaderBytes:    orDefault(cfg.MaxHeaderBytes, DefaultMaxHeaderBytes),
@@ -90,9 +93,9 @@
 
 // StopListening stops accepting connections. Open ones are still served, including idle
 // ones: closing an idle connection could race with a request that is being sent on it.
-func (s *Server) StopListening() {
+func (s *Server) StopListening(ctx context.Context) {
 	s.listener.stopping.Store(true)
-	if err := s.listener.drain(); err != nil {
+	if err := s.listener.drain(ctx); err != nil {
 		s.cfg.Logger.Warn("connections that are not accepted yet will be reset", "address", s.cfg.Address, "error", err)
 	}
 	_ = s.listener.Close()
--- a/core/trans/httpd/listener.go
+++ b/core/trans/httpd/listener.go
@@ -1,6 +1,8 @@
 package httpd
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -9,8 +11,12 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cicadastand.dev/core/state/clock"
 )
 
+var errStillWaiting = errors.New("connections still wait to be accepted")
+
 const (
 	// acceptTimeout limits the wait until all established connections are accepted, and
 	// acceptInterval is the time between checks.
@@ -27,6 +33,7 @@
 // instead of a reset: clients take that as proof that the request was not read.
 type listener struct {
 	*net.TCPListener
+	clock    clock.Service
 	stopping atomic.Bool
 	// closing counts the connections that are being closed.
 	closing sync.WaitGroup
@@ -43,18 +50,22 @@
 
 // drain waits until the established connections are accepted. A connection that is
 // established between its last check and the close of the listener is still reset.
-func (l *listener) drain() error {
+func (l *listener) drain(ctx context.Context) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return fmt.Errorf("access listener: %w", err)
 	}
-	for deadline := time.Now().Add(acceptTimeout); time.Now().Before(deadline); time.Sleep(acceptInterval) {
+	deadline := l.clock.Now().Add(acceptTimeout)
+	for l.clock.Now().Before(deadline) {
 		waiting, err := hasWaitingConn(raw)
 		if err != nil || !waiting {
 			return err
 		}
+		if err := clock.Sleep(ctx, l.clock, acceptInterval); err != nil {
+			return fmt.Errorf("wait for connections to be accepted: %w", err)
+		}
 	}
-	return nil
+	return errStillWaiting
 }
 
 // hasWaitingConn reports whether an established connection is not accepted yet.
@@ -107,8 +118,9 @@
 // resets the connection.
 func (c *serverConn) run() {
 	defer c.l.closing.Done()
-	time.Sleep(acceptInterval)
-	err := c.SetReadDeadline(time.Now().Add(closeDelay))
+	// Without a context, Sleep returns no error.
+	_ = clock.Sleep(context.Background(), c.l.clock, acceptInterval)
+	err := c.SetReadDeadline(c.l.clock.Now().Add(closeDelay))
 	for discard := make([]byte, 4<<10); err == nil; {
 		_, err = c.TCPConn.Read(discard)
 	}
--- a/core/trans/httpd/stop_test.go
+++ b/core/trans/httpd/stop_test.go
@@ -13,11 +13,13 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+
+	"cicadastand.dev/core/state/clock"
 )
 
 func startServer(t *testing.T, handler http.HandlerFunc) *Server {
 	t.Helper()
-	s, err := Listen(context.Background(), Config{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: handler, Logger: hclog.NewNullLogger()})
+	s, err := Listen(context.Background(), Config{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: handler, Clock: clock.New(), Logger: hclog.NewNullLogger()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +43,7 @@
 	is := is.New(t)
 	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	is.NoErr(err)
-	l := &listener{TCPListener: tcp}
+	l := &listener{TCPListener: tcp, clock: clock.New()}
 	const clients = 20
 	for range clients {
 		_, err := io.WriteString(dial(t, netip.MustParseAddrPort(l.Addr().String())), "request")
@@ -51,7 +53,7 @@
 	slow := &slowAcceptor{l: l, accepted: accepted}
 	go slow.run()
 	l.stopping.Store(true)
-	is.NoErr(l.drain())
+	is.NoErr(l.drain(context.Background()))
 	is.NoErr(l.Close())
 	for range clients {
 		select {
@@ -71,7 +73,7 @@
 
 func (s *slowAcceptor) run() {
 	for {
-		time.Sleep(3 * time.Millisecond)
+		time.Sleep(3 * time.Millisecond) // the load that makes it slow
 		c, err := s.l.Accept()
 		if err != nil {
 			return
@@ -87,7 +89,7 @@
 	is := is.New(t)
 	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	is.NoErr(err)
-	l := &listener{TCPListener: tcp}
+	l := &listener{TCPListener: tcp, clock: clock.New()}
 	client := dial(t, netip.MustParseAddrPort(l.Addr().String()))
 	server, err := l.Accept()
 	is.NoErr(err)
@@ -115,7 +117,7 @@
 	_, err = http.ReadResponse(reader, nil)
 	is.NoErr(err)
 	started := time.Now()
-	s.StopListening()
+	s.StopListening(context.Background())
 	is.NoErr(s.Shutdown(context.Background()))
 	is.True(time.Since(started) < time.Second)
 	_, err = reader.ReadByte()
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -343,16 +343,16 @@
 
 func (h *Host) listen(ctx context.Context) error {
 	var err error
-	if h.readinessServer, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Readiness, Handler: h.readinessHandler(), Logger: h.cfg.Logger}); err != nil {
+	if h.readinessServer, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Readiness, Handler: h.readinessHandler(), Clock: h.cfg.Clock, Logger: h.cfg.Logger}); err != nil {
 		return err
 	}
 	if h.cfg.MetricsPort > 0 {
 		address := netip.AddrPortFrom(h.settings.Address, h.cfg.MetricsPort)
-		if h.metricsServer, err = httpd.Listen(ctx, httpd.Config{Address: address, Handler: h.metricsHandler(), Logger: h.cfg.Logger}); err != nil {
+		if h.metricsServer, err = httpd.Listen(ctx, httpd.Config{Address: address, Handler: h.metricsHandler(), Clock: h.cfg.Clock, Logger: h.cfg.Logger}); err != nil {
 			return err
 		}
 	}
-	h.callerServer, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Callers, Handler: h.relay, Logger: h.cfg.Logger})
+	h.callerServer, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Callers, Handler: h.relay, Clock: h.cfg.Clock, Logger: h.cfg.Logger})
 	return err
 }
 
@@ -424,7 +424,7 @@
 	h.relay.Stop()
 	err := clock.Sleep(ctx, h.cfg.Clock, balancerDelay)
 	if err == nil {
-		h.callerServer.StopListening()
+		h.callerServer.StopListening(ctx)
 		err = h.callerServer.Shutdown(ctx)
 	}
 	if err != nil {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -132,6 +132,7 @@
 	n.callers, err = httpd.Listen(ctx, httpd.Config{
 		Address:     n.settings.Callers.Address,
 		Handler:     n.front.Handler(),
+		Clock:       n.clock,
 		Logger:      n.logger.Named("callers"),
 		TLS:         callerTLS,
 		ReadTimeout: n.settings.Callers.ReadTimeout,
@@ -143,6 +144,7 @@
 	n.operators, err = httpd.Listen(ctx, httpd.Config{
 		Address: n.settings.Operators.Address,
 		Handler: do.MustInvoke[*oper.Server](n.scope).Handler(),
+		Clock:   n.clock,
 		Logger:  n.logger.Named("operators"),
 		TLS:     operTLS,
 	})
@@ -197,7 +199,7 @@
 	do.MustInvoke[*peer.Service](n.scope).Leave(ctx)
 	n.front.Stop()
 	_ = clock.Sleep(ctx, n.clock, n.settings.Stop.Notice)
-	n.callers.StopListening()
+	n.callers.StopListening(ctx)
 	n.linger(ctx)
 	err := n.callers.Shutdown(ctx)
 	if !do.MustInvoke[*claim.Coordinator](n.scope).Drain(ctx) || err != nil {
--- a/stand/cli/cli.go
+++ b/stand/cli/cli.go
@@ -66,7 +66,7 @@
 func serve(address netip.AddrPort, handler http.Handler, logger hclog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	server, err := httpd.Listen(ctx, httpd.Config{Address: address, Handler: handler, Logger: logger})
+	server, err := httpd.Listen(ctx, httpd.Config{Address: address, Handler: handler, Clock: clock.New(), Logger: logger})
 	if err != nil {
 		return fmt.Errorf("start test double: %w", err)
 	}
