--- a/router/hosted/cluster_test.go
+++ b/router/hosted/cluster_test.go
@@ -225,3 +225,38 @@
 	raw, err := io.ReadAll(resp.Body)
 	return response{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err}
 }
+
+// rawServer is an endpoint that handles each connection on its own, without an HTTP server.
+type rawServer struct {
+	listener net.Listener
+	handle   func(net.Conn)
+}
+
+// startRawServer starts a raw server in place of an endpoint that was started before.
+func (c *cluster) startRawServer(id, service string, handle func(net.Conn)) {
+	c.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	s := &rawServer{listener: l, handle: handle}
+	go s.run()
+	c.t.Cleanup(func() { _ = l.Close() })
+	c.address[id] = l.Addr().String()
+	c.putEndpoint(id, service, "zone-0", "ready", 2)
+}
+
+func (s *rawServer) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.loop(conn)
+	}
+}
+
+func (s *rawServer) loop(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	s.handle(conn)
+}
--- a/router/hosted/copy_test.go
+++ b/router/hosted/copy_test.go
@@ -13,22 +13,9 @@
 	"cicadastand.dev/stand/server"
 )
 
-// copyServer is an endpoint that answers each request, and sends a copy of its answer
-// without an ID where the answer to the next request on the connection is due.
-type copyServer struct{ listener net.Listener }
-
-func (s *copyServer) run() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		go s.loop(conn)
-	}
-}
-
-func (s *copyServer) loop(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+// sendCopies answers each request, and sends a copy of its answer without an ID where the
+// answer to the next request on the connection is due.
+func sendCopies(conn net.Conn) {
 	reader := bufio.NewReader(conn)
 	last := ""
 	for {
@@ -60,13 +47,7 @@
 	is := is.New(t)
 	c := newCluster(t, 1)
 	c.startEndpoint("i-1", "shop", "zone-0", server.Config{})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	s := &copyServer{listener: l}
-	go s.run()
-	t.Cleanup(func() { _ = l.Close() })
-	c.address["i-1"] = l.Addr().String()
-	c.putEndpoint("i-1", "shop", "zone-0", "ready", 2)
+	c.startRawServer("i-1", "shop", sendCopies)
 	c.startServing()
 	for n := range 5 {
 		id := fmt.Sprint("r", n)
--- a/router/hosted/stream_test.go
+++ b/router/hosted/stream_test.go
@@ -27,24 +27,9 @@
 	is.Equal(len(c.servers["i-1"].Runs()), 1)
 }
 
-// trickleServer is an engine that begins a stream and then sends comments, but no event.
-type trickleServer struct {
-	listener net.Listener
-	closed   chan time.Time
-}
-
-func (s *trickleServer) run() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		go s.loop(conn)
-	}
-}
-
-func (s *trickleServer) loop(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+// trickle begins a stream and then sends comments, but no event, until the caller closes
+// the connection. It reports when that was.
+func trickle(conn net.Conn, closed chan<- time.Time) {
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
@@ -55,7 +40,7 @@
 		text = ":\n"
 		time.Sleep(20 * time.Millisecond) // the pace of the stalled stream
 	}
-	s.closed <- time.Now()
+	closed <- time.Now()
 }
 
 // A stream that sends a byte now and then, but no event, ends when the time of its client
@@ -64,17 +49,12 @@
 	is := is.New(t)
 	c := newCluster(t, 1)
 	c.startEndpoint("i-1", "engines", "zone-0", server.Config{Name: "m"})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	s := &trickleServer{listener: l, closed: make(chan time.Time, 8)}
-	go s.run()
-	t.Cleanup(func() { _ = l.Close() })
-	c.address["i-1"] = l.Addr().String()
-	c.putEndpoint("i-1", "engines", "zone-0", "ready", 2)
+	closed := make(chan time.Time, 8)
+	c.startRawServer("i-1", "engines", func(conn net.Conn) { trickle(conn, closed) })
 	c.startServing()
 	started := time.Now()
 	got := c.send(c.hosts[0], "POST", "/chat/", "r1", "key", "x") // with 2.5 s
 	is.True(got.err != nil || got.status >= 500)
 	is.True(time.Since(started) < 3500*time.Millisecond)
-	is.True((<-s.closed).Sub(started) < 4*time.Second)
+	is.True((<-closed).Sub(started) < 4*time.Second)
 }
