--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -18,27 +18,6 @@
 // the time it needs to load weights, or to prefill some queued prompts.
 const rejectionPause = 150 * time.Millisecond
 
-const (
-	// maxBufferedResponse limits the body, in bytes, of a response that is read in full
-	// before it is forwarded, so that the request can be retried if the endpoint
-	// disconnects. A longer body is forwarded as it arrives.
-	maxBufferedResponse = 256 << 10
-	// maxResponse limits the body, in bytes, of any response: a faulty endpoint may send
-	// a body without end.
-	maxResponse = 256 << 20
-)
-
-// response is an endpoint's response.
-type response struct {
-	status int
-	header http.Header
-	body   []byte
-	// length is the length of the body, or -1 if it is not known.
-	length int64
-	// rest is what follows body; nil if body is complete.
-	rest io.Reader
-}
-
 // attempt sends the request to one endpoint. If fault is nil, the client has its
 // response; otherwise retry reports whether the request can safely be sent again.
 func (j *job) attempt(ctx context.Context) (retry bool, fault *rejection) {
@@ -222,66 +201,3 @@
 		j.r.cfg.Logger.Debug("failed to read the rest of a rejected attempt's response", "id", j.params.ID, "error", err)
 	}
 }
-
-var errResponseTooLong = fmt.Errorf("response body is longer than %d bytes", maxResponse)
-
-// writeResponse forwards an endpoint's response to the client. A status that clients
-// take as proof that the request did not run is replaced, since this request did run. It
-// returns an error if the endpoint did not complete the body.
-func (j *job) writeResponse(resp *response) error {
-	switch resp.status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		j.reject(newRejection(http.StatusBadGateway, 0, "endpoint %s ran the request and answered %d", j.endpoint, resp.status))
-		return nil
-	}
-	h := j.w.Header()
-	closing := h.Get("Connection")
-	j.r.cfg.Codec.CopyHeader(h, resp.header)
-	if closing != "" {
-		h.Set("Connection", closing)
-	}
-	if resp.length >= 0 {
-		h.Set("Content-Length", fmt.Sprint(resp.length))
-	}
-	j.outcome = fmt.Sprint(resp.status)
-	j.firstByte = j.r.cfg.Clock.Now().Sub(j.start)
-	j.w.WriteHeader(resp.status)
-	if _, err := j.w.Write(resp.body); err != nil {
-		j.reason = "writing the response to the client failed: " + err.Error()
-		return nil
-	}
-	if resp.rest == nil {
-		return nil
-	}
-	j.started = true
-	return j.forwardRest(resp.rest)
-}
-
-// forwardRest forwards the rest of a long body as it arrives.
-func (j *job) forwardRest(rest io.Reader) error {
-	limited := &io.LimitedReader{R: rest, N: maxResponse}
-	_, err := io.Copy(clientWriter{j}, limited)
-	switch {
-	case j.reason != "":
-		return nil
-	case err != nil:
-		return fmt.Errorf("read body: %w", err)
-	case limited.N == 0:
-		return errResponseTooLong
-	default:
-		return nil
-	}
-}
-
-// clientWriter writes to the client and records an error as the reason of the outcome, to
-// tell it from an error of the endpoint.
-type clientWriter struct{ j *job }
-
-// Write implements io.Writer.
-func (w clientWriter) Write(p []byte) (int, error) {
-	n, err := w.j.w.Write(p)
-	if err != nil {
-		w.j.reason = "writing the response to the client failed: " + err.Error()
-	}
-	return n, err
-}
