--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -175,15 +175,16 @@
 		m := w.publishedMark()
 		wait := w.cfg.PublishedWait
 		role := w.cfg.Role()
-		if reads := role != Member && w.shouldRead(m, role, 0); reads != readsForOthers {
-			readsForOthers = reads
-			w.logReadsForOthers(reads, role, m)
+		reads := w.shouldRead(m, role, 0)
+		if forOthers := reads && role != Member; forOthers != readsForOthers {
+			readsForOthers = forOthers
+			w.logReadsForOthers(forOthers, role, m)
 		}
 		if m.failed || role == Hub && !m.Own {
 			// A current read is needed at once: keys can't be used without one.
 			wait = 0
 		}
-		if !w.shouldRead(m, role, 0) {
+		if !reads {
 			select {
 			case <-w.newRecords:
 				wait = 0
