Log how long the weights of a request had been replaced

The request line names the weights, but not for how long a newer version was known when the engine was chosen. Without it, old weights that were still permitted cannot be told from old weights that were used for want of others.

--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -21,6 +21,8 @@
 	// if a version is known and the endpoint has not rejected it.
 	weights int
 	valid   bool
+	// replacedFor is how long a newer version has been known; 0 if there is none.
+	replacedFor time.Duration
 	// source is the address from which the endpoint fetches the shared prefix, or the
 	// zero address. sourceName is the name of the source in logs.
 	source     netip.AddrPort
@@ -144,6 +146,9 @@
 		tokensAhead:   c.TokensAhead,
 		isOwner:       c.IsOwner,
 	}
+	if at, replaced := j.view.ReplacedAt(j.params.Model, out.weights); replaced {
+		out.replacedFor = j.r.cfg.Clock.Boot() - at
+	}
 	if out.valid {
 		j.setFetchSource(&out, prompt, c, engines, list, loaded)
 	}
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -292,6 +292,9 @@
 		args = append(args, "rank", j.rank(), "tokens", j.chosen.prefillTokens, "ahead", j.chosen.tokensAhead, "waiting", math.Round(10*j.chosen.waiting)/10,
 			"expect-ms", j.chosen.firstToken.Milliseconds(), "weights", j.chosen.weights, "shared", j.chosen.shared, "held", j.chosen.cached, "source", j.chosen.sourceName, "save", j.chosen.store != nil)
 	}
+	if j.chosen.replacedFor > 0 {
+		args = append(args, "replaced-ms", j.chosen.replacedFor.Milliseconds())
+	}
 	if j.firstByte > 0 {
 		args = append(args, "first-ms", j.firstByte.Milliseconds())
 	}
