Start no request on weights past the bound

Callers got answers from old weights up to 2.5 s after the operator's bound. With no engine left that was neither tried, paused nor ejected and whose weights were permitted, choose fell back to all engines. A retry after the only updated engine was tried leads there as well as a service whose engines are all late.

Engines past the bound are now left out before paused and ejected ones are considered again, and without any the request is rejected with a Retry-After: an answer from such weights is worth nothing to its caller. An engine whose version is unknown stays usable.

--- a/router/hosted/cluster_test.go
+++ b/router/hosted/cluster_test.go
@@ -39,6 +39,8 @@
 	// hostCount is the number of hosts to start, and storeAddress the address of the store.
 	hostCount    int
 	storeAddress string
+	// versionTime is how long requests may start on weights after a newer version was published.
+	versionTime time.Duration
 }
 
 type host struct {
@@ -49,7 +51,7 @@
 
 func newCluster(t *testing.T, hosts int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: memdb.New(), servers: make(map[string]*server.Endpoint), address: make(map[string]string)}
+	c := &cluster{t: t, store: memdb.New(), servers: make(map[string]*server.Endpoint), address: make(map[string]string), versionTime: 6 * time.Second}
 	store := httptest.NewServer(c.store)
 	t.Cleanup(store.Close)
 	c.hostCount, c.storeAddress = hosts, strings.TrimPrefix(store.URL, "http://")
@@ -96,10 +98,10 @@
 budget_window_s = 10
 budget_extra = 40
 lease_ms = 600
-version_ms = 6000
+version_ms = %d
 [platform]
 address = %q
-`, i, i, peers.Port(), peers.Port(), callers, ready, revokeTime.Milliseconds(), store)
+`, i, i, peers.Port(), peers.Port(), callers, ready, revokeTime.Milliseconds(), c.versionTime.Milliseconds(), store)
 	path := filepath.Join(c.t.TempDir(), "local.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/samber/lo"
+
 	"cicadastand.dev/core/coord/fetch"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/place"
@@ -45,35 +47,36 @@
 	isOwner bool
 }
 
-// choose selects an endpoint that was not tried yet. Paused and ejected endpoints
-// are used only if there are no others.
+// choose selects an endpoint that was not tried yet. Paused and ejected endpoints are used
+// only if there are no others, engines whose weights were replaced too long ago never.
 func (j *job) choose(ctx context.Context) (choice, *rejection) {
 	r := j.r
 	view := r.cfg.Mirror.View()
 	j.view = view
 	all := view.ByService[j.serviceName]
-	var list []*site.Endpoint
-	now := r.cfg.Clock.Boot()
-	for _, e := range all {
-		if !j.tried[e.ID] && !r.cfg.Pauses.Paused(e.ID, now) && !r.cfg.Ejection.Ejected(e.ID, now) {
-			list = append(list, e)
-		}
+	untried := lo.Filter(all, func(e *site.Endpoint, _ int) bool { return !j.tried[e.ID] })
+	if len(untried) == 0 {
+		return choice{}, newRejection(http.StatusServiceUnavailable, retryAfterNoEndpoint, "no endpoint of %s is left, %d are listed", j.serviceName, len(all))
 	}
-	if len(list) == 0 {
-		for _, e := range all {
-			if !j.tried[e.ID] {
-				list = append(list, e)
-			}
+	usable := untried
+	if j.isModel() {
+		if usable = r.permitted(untried, view, j.params.Model); len(usable) == 0 {
+			r.oldWeights.Inc()
+			return choice{}, newRejection(http.StatusServiceUnavailable, retryAfterOldWeights, "none of %d engines of %s has loaded weights that may still be used", len(untried), j.serviceName)
 		}
 	}
+	now := r.cfg.Clock.Boot()
+	list := lo.Filter(usable, func(e *site.Endpoint, _ int) bool {
+		return !r.cfg.Pauses.Paused(e.ID, now) && !r.cfg.Ejection.Ejected(e.ID, now)
+	})
 	if len(list) == 0 {
-		return choice{}, newRejection(http.StatusServiceUnavailable, retryAfterNoEndpoint, "no endpoint of %s is left, %d are listed", j.serviceName, len(all))
+		list = usable
 	}
 	work := r.cfg.Loads.Total(now)
 	if !j.isModel() {
 		return j.chooseLeastLoaded(list, work), nil
 	}
-	return j.chooseEngine(ctx, r.withCurrentWeights(list, view, j.params.Model), work), nil
+	return j.chooseEngine(ctx, list, work), nil
 }
 
 func (j *job) chooseLeastLoaded(list []*site.Endpoint, work map[string]load.Work) choice {
--- a/router/relay/reject.go
+++ b/router/relay/reject.go
@@ -55,6 +55,8 @@
 	retryAfterPartition = 50 * time.Millisecond
 	// retryAfterNoEndpoint is about the interval at which endpoints renew their entries.
 	retryAfterNoEndpoint = time.Second
+	// retryAfterOldWeights is about the time in which some engines load new weights.
+	retryAfterOldWeights = 500 * time.Millisecond
 	// retryAfterBusy is about the time in which an engine prefills a few prompts.
 	retryAfterBusy = 300 * time.Millisecond
 )
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -94,16 +94,19 @@
 
 	latency   *metrics.Histogram
 	firstByte *metrics.Histogram
+	// oldWeights counts the requests rejected because all engines have old weights.
+	oldWeights *metrics.Counter
 }
 
 // New returns a Relay and registers its metrics.
 func New(cfg Config) *Relay {
 	r := &Relay{
-		cfg:       cfg,
-		prefill:   newPrefillRates(),
-		weights:   newReportedWeights(),
-		latency:   cfg.Metrics.NewHistogram("cicada_relay_seconds"),
-		firstByte: cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
+		cfg:        cfg,
+		prefill:    newPrefillRates(),
+		weights:    newReportedWeights(),
+		latency:    cfg.Metrics.NewHistogram("cicada_relay_seconds"),
+		firstByte:  cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
+		oldWeights: cfg.Metrics.NewCounter("cicada_relay_old_weights_total"),
 	}
 	return r
 }
--- a/router/relay/weights.go
+++ b/router/relay/weights.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"cicadastand.dev/core/state/mirror"
 	"cicadastand.dev/core/state/site"
 )
@@ -79,20 +81,13 @@
 // starts to run.
 const queueMargin = time.Second
 
-// withCurrentWeights returns the endpoints on whose weights requests may still
-// start. If there are none it returns all endpoints, since a response from old
-// weights is better than none.
-func (r *Relay) withCurrentWeights(list []*site.Endpoint, view *mirror.View, model string) []*site.Endpoint {
+// permitted returns the endpoints on whose weights requests may still start. An endpoint
+// whose version is not known is permitted.
+func (r *Relay) permitted(list []*site.Endpoint, view *mirror.View, model string) []*site.Endpoint {
 	now := r.cfg.Clock.Boot()
-	var out []*site.Endpoint
-	for _, e := range list {
-		at, replaced := view.ReplacedAt(model, r.weightsOf(e, model).version)
-		if !replaced || now-at < r.cfg.OldWeightsGrace-queueMargin {
-			out = append(out, e)
-		}
-	}
-	if len(out) == 0 {
-		return list
-	}
-	return out
+	return lo.Filter(list, func(e *site.Endpoint, _ int) bool {
+		version := r.weightsOf(e, model).version
+		at, replaced := view.ReplacedAt(model, version)
+		return version == 0 || !replaced || now-at < r.cfg.OldWeightsGrace-queueMargin
+	})
 }
--- a/stand/server/server.go
+++ b/stand/server/server.go
@@ -34,6 +34,8 @@
 	// Pause is the time before each event.
 	Events int
 	Pause  time.Duration
+	// RejectOrders makes the endpoint answer each order as if another one were in progress.
+	RejectOrders bool
 }
 
 // Endpoint is one instance of an engine or a service. It is safe for concurrent use.
@@ -183,7 +185,7 @@
 	switch {
 	case e.version == in.Version:
 		w.WriteHeader(http.StatusOK)
-	case in.Precondition != nil && *in.Precondition != e.orders:
+	case e.cfg.RejectOrders, in.Precondition != nil && *in.Precondition != e.orders:
 		w.WriteHeader(http.StatusConflict)
 	default:
 		e.version = in.Version
