Count the age of weights from their publication also at hosts that learn late

A host that was suspended, restarted or cut off took the time at which it learnt of a version for its publication.

Hosts now send each other the ages of recent versions with their status, and keep the earliest time that any of them learnt of a version. A host that finds a version at its start takes it for 2 s old until it knows better.

TestLateHostCountsTheAgeOfWeightsFromTheirPublication failed before: 200 != 503.

--- a/core/state/mirror/mirror.go
+++ b/core/state/mirror/mirror.go
@@ -31,8 +31,9 @@
 	EndpointsRead bool
 }
 
-// WeightsVersion is a version of a model's weights and the time at which this
-// host learnt of it.
+// WeightsVersion is a version of a model's weights and the earliest time at which a host is
+// known to have learnt of it. A host that was suspended or restarted learns of a version
+// long after its publication.
 type WeightsVersion struct {
 	Version  int
 	LearntAt time.Duration
@@ -46,8 +47,8 @@
 	return 0
 }
 
-// ReplacedAt returns when this host learnt of the first version newer than the
-// given one, and false if there is none.
+// ReplacedAt returns when the first version newer than the given one was learnt of, and
+// false if there is none.
 func (v *View) ReplacedAt(model string, version int) (time.Duration, bool) {
 	for _, w := range v.Weights[model] {
 		if w.Version > version {
@@ -117,20 +118,28 @@
 	return true
 }
 
-// SetWeights adds a weights version of a model and reports whether it did. A
-// version that is not newer than the newest known one is ignored.
-func (m *Mirror) SetWeights(model string, version int, now time.Duration) bool {
+// SetWeights adds a weights version of a model, which a host has learnt of at a time, and
+// reports whether it did. A version that is older than the newest known one is not added. Of
+// the times given for one version the earliest is kept.
+func (m *Mirror) SetWeights(model string, version int, learntAt time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := *m.view.Load()
-	if version <= v.NewestWeights(model) {
+	versions := v.Weights[model]
+	known := slices.IndexFunc(versions, func(w WeightsVersion) bool { return w.Version == version })
+	switch {
+	case known >= 0 && versions[known].LearntAt > learntAt:
+		versions = slices.Clone(versions)
+		versions[known].LearntAt = learntAt
+	case version > v.NewestWeights(model):
+		versions = append(slices.Clone(versions), WeightsVersion{Version: version, LearntAt: learntAt})
+	default:
 		return false
 	}
 	v.Weights = maps.Clone(v.Weights)
-	versions := append(slices.Clone(v.Weights[model]), WeightsVersion{Version: version, LearntAt: now})
 	v.Weights[model] = versions[max(0, len(versions)-maxVersions):]
 	m.view.Store(&v)
-	return true
+	return known < 0
 }
 
 // SetEndpoints replaces the endpoint list.
--- a/core/state/mirror/mirror_test.go
+++ b/core/state/mirror/mirror_test.go
@@ -87,3 +87,17 @@
 	is.Equal(one, mirror.Fingerprint(map[string]*site.Endpoint{"e": &e}))
 	is.True(one != mirror.Fingerprint(map[string]*site.Endpoint{"e": &changed}))
 }
+
+func TestEarliestTimeOfAVersionIsKept(t *testing.T) {
+	is := is.New(t)
+	m := mirror.New()
+	is.True(m.SetWeights("m", 2, 900))
+	before := m.View()
+	is.True(!m.SetWeights("m", 2, 400)) // a peer has learnt of it earlier
+	is.True(!m.SetWeights("m", 2, 600))
+	at, ok := m.View().ReplacedAt("m", 1)
+	is.True(ok)
+	is.Equal(at, time.Duration(400))
+	at, _ = before.ReplacedAt("m", 1)
+	is.Equal(at, time.Duration(900)) // a view does not change
+}
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -221,6 +221,7 @@
 		Self:             self,
 		Hubs:             h.hubs,
 		Store:            h.watch,
+		Mirror:           h.mirror,
 		Loads:            h.loads,
 		Poison:           suspects,
 		CacheIndex:       h.cacheIndex,
--- a/router/hosted/version_test.go
+++ b/router/hosted/version_test.go
@@ -40,7 +40,9 @@
 	c.startServing()
 	time.Sleep(registryTime)
 	published := c.publishWeights(2)
-	is.Equal(c.send(c.hosts[0], "POST", "/chat/", "r1", "key", "x").status, 200) // still permitted
+	c.eventually("old weights are used while they are permitted", func() bool {
+		return c.send(c.hosts[0], "POST", "/chat/", "r1", "key", "x").status == 200
+	})
 	time.Sleep(time.Until(published.Add(c.versionTime)))
 	before := c.runs()
 	for n := range 8 {
@@ -50,3 +52,25 @@
 	}
 	is.Equal(c.runs(), before)
 }
+
+// A host that starts, or wakes, after a publication must not use old weights for longer than
+// the others.
+func TestLateHostCountsTheAgeOfWeightsFromTheirPublication(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	for n := range 2 {
+		c.startEndpoint(fmt.Sprint("i-", n), "engines", "zone-0", server.Config{Name: "m", Events: 1, RejectOrders: true})
+	}
+	c.startServing()
+	time.Sleep(registryTime)
+	published := c.publishWeights(2)
+	time.Sleep(time.Until(published.Add(3500 * time.Millisecond)))
+	late := c.startHost(1, c.storeAddress)
+	c.eventually("late host is ready", func() bool { return c.isReady(late) })
+	time.Sleep(time.Until(published.Add(c.versionTime)))
+	before := c.runs()
+	for n := range 8 {
+		is.Equal(c.send(late, "POST", "/chat/", fmt.Sprint("late-", n), "key", "x").status, 503)
+	}
+	is.Equal(c.runs(), before)
+}
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -81,6 +81,29 @@
 	}
 }
 
+// versions returns the recently published versions of weights with their ages.
+func (s *Service) versions() []*loadpb.WeightsVersion {
+	now := s.cfg.Clock.Boot()
+	var out []*loadpb.WeightsVersion
+	for model, versions := range s.cfg.Mirror.View().Weights {
+		for _, v := range versions {
+			if age := now - v.LearntAt; age < versionNewsTime {
+				out = append(out, &loadpb.WeightsVersion{Model: model, Version: uint32(v.Version), AgeMs: uint32(max(0, age.Milliseconds()))})
+			}
+		}
+	}
+	return out
+}
+
+func (s *Service) receiveVersions(in []*loadpb.WeightsVersion) {
+	now := s.cfg.Clock.Boot()
+	for _, v := range in {
+		if s.cfg.Mirror.SetWeights(v.GetModel(), int(v.GetVersion()), now-time.Duration(v.GetAgeMs())*time.Millisecond) {
+			s.cfg.Logger.Info("new weights version received from peer", "model", v.GetModel(), "version", v.GetVersion(), "age-ms", v.GetAgeMs())
+		}
+	}
+}
+
 func recordMessage(r feed.Record, _ int) *loadpb.Record {
 	return &loadpb.Record{Key: r.Key, Value: r.Value}
 }
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -27,6 +27,7 @@
 	"cicadastand.dev/core/proto/loadpb"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
+	"cicadastand.dev/core/state/mirror"
 	"cicadastand.dev/core/state/site"
 )
 
@@ -64,6 +65,7 @@
 	Self             feed.Host
 	Hubs             *hubs.Table
 	Store            StoreState
+	Mirror           *mirror.Mirror
 	Loads            *load.Table
 	Poison           *poison.Table
 	CacheIndex       *kvmap.Index
@@ -82,6 +84,9 @@
 	// hubRoleTimeout is how long a host acts as the hub after a host of its domain
 	// has sent it a status.
 	hubRoleTimeout = 1500 * time.Millisecond
+	// versionNewsTime is how long a published version of weights is sent to other hosts, so
+	// that those which learn of it late know its age.
+	versionNewsTime = 10 * time.Second
 	// maxSuspects bounds the number of suspect requests in one message.
 	maxSuspects = 32
 )
@@ -288,6 +293,7 @@
 		}
 	}
 	s.receivePauses(in.GetPauses())
+	s.receiveVersions(in.GetVersions())
 	s.mergeSuspects(in.GetSuspects())
 	for _, p := range in.GetPlacements() {
 		s.cfg.CacheIndex.Add(placementFrom(p, now))
@@ -335,6 +341,7 @@
 	}
 	s.mergeSuspects(in.GetSuspects())
 	s.receivePauses(in.GetPauses())
+	s.receiveVersions(in.GetVersions())
 	for _, m := range in.GetPlacements() {
 		p := placementFrom(m, now)
 		s.cfg.CacheIndex.Add(p)
@@ -369,6 +376,7 @@
 	out := &loadpb.Heard{
 		Work:       workMessage(s.cfg.Loads.TotalExcept(in.GetHost(), now)),
 		Pauses:     s.pauses(),
+		Versions:   s.versions(),
 		Suspects:   s.suspects(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(in.GetHost(), now), placementMessage),
 	}
@@ -423,6 +431,7 @@
 		Domain:     s.cfg.Self.FailureDomain,
 		Leaving:    leaving,
 		Pauses:     s.pauses(),
+		Versions:   s.versions(),
 		Suspects:   s.suspects(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(hubSubscriber+to, s.cfg.Clock.Boot()), placementMessage),
 	}
--- a/router/share/status_test.go
+++ b/router/share/status_test.go
@@ -15,6 +15,7 @@
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
+	"cicadastand.dev/core/state/mirror"
 	"cicadastand.dev/core/state/site"
 )
 
@@ -33,7 +34,7 @@
 	is := is.New(t)
 	self := feed.Host{Name: "h", Address: "127.0.0.1:1"}
 	s := New(Config{
-		Clock: clock.Real{}, Self: self, Hubs: hubs.New(hubs.Config{Self: self}), Store: failingStore{}, Loads: load.New(time.Second),
+		Clock: clock.Real{}, Self: self, Hubs: hubs.New(hubs.Config{Self: self}), Store: failingStore{}, Mirror: mirror.New(), Loads: load.New(time.Second),
 		Poison: poison.New(poison.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(),
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: metrics.NewSet(),
 	})
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -89,6 +89,9 @@
 	// outageAfter is the time without a read after which entries may have expired
 	// because the store was unavailable, so that endpoints could not renew them.
 	outageAfter = 2500 * time.Millisecond
+	// startVersionAge is the assumed age of the weights versions that a host finds at its
+	// start. They may be older; other hosts that know more send their age.
+	startVersionAge = 2 * time.Second
 	// renewTime is the time within which live endpoints renew their entries once the
 	// store is available again. The platform guarantees it.
 	renewTime = 2 * time.Second
@@ -244,8 +247,12 @@
 	if p.Config != nil && w.cfg.Mirror.SetConfig(p.Config) {
 		w.cfg.Logger.Info("configuration updated", "version", p.Config.Version, "next", p.Next)
 	}
+	learntAt := w.cfg.Clock.Boot()
+	if !w.publishedMark().known {
+		learntAt -= startVersionAge
+	}
 	for model, version := range p.Weights {
-		if w.cfg.Mirror.SetWeights(model, version, w.cfg.Clock.Boot()) {
+		if w.cfg.Mirror.SetWeights(model, version, learntAt) {
 			w.cfg.Logger.Info("new weights version published", "model", model, "version", version, "next", p.Next)
 		}
 	}
