Bind an order to the tenure of the lease, not to one grant

An order is planned 280 ms or more before it is sent, and kept the end of the grant in force when it was planned. With a short lease the grant ends before that, and the retry, a multiple of the renewals later, meets the same moment.

An order now checks the lease as it is when it is sent, and is dropped if another host held it in between, or if it has ended. It bears the current fencing token.

TestOrderPlannedBeforeARenewalIsSent failed before: no engine of 5 got an order within 5 s.

--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -92,6 +93,8 @@
 	plan  *plan.Plan
 	// outdatedSince is when engines became outdated; 0 if none is outdated.
 	outdatedSince time.Duration
+	// held is this host's current or last tenure, nil before the first.
+	held atomic.Pointer[tenure]
 	// lastContact is when the last task for each engine was started, by endpoint ID.
 	lastContact map[string]time.Duration
 	// running counts the tasks in progress; finished has capacity for all of them.
@@ -99,6 +102,14 @@
 	finished chan *task
 }
 
+// tenure is the time in which this host holds the lease without interruption.
+type tenure struct {
+	// number tells tenures apart; renewals don't change it.
+	number int
+	fence  int64
+	until  time.Duration
+}
+
 // New returns a runner that has not started.
 func New(cfg Config) *Runner {
 	return &Runner{
@@ -148,11 +159,22 @@
 	leadTime := r.cfg.PropagationTime() + pauseLead - earlyPause
 	next := r.plan.Next(r.cfg.Mirror.View(), r.cfg.Loads(), r.cfg.Clock.Boot(), leadTime)
 	r.planPauses(ctx, next)
-	until := r.lease.Until()
 	for _, s := range next {
-		t := &task{r: r, endpoint: s.Endpoint, step: &s, until: until, fence: r.lease.FencingToken()}
-		r.start(ctx, t)
+		r.start(ctx, &task{r: r, endpoint: s.Endpoint, step: &s, tenure: r.held.Load().number})
+	}
+}
+
+// hold starts a tenure or extends the current one. The previous grant stays valid for its
+// own time while the outcome of a renewal is unknown.
+func (r *Runner) hold(renewed bool) {
+	t := tenure{fence: r.lease.FencingToken(), until: r.lease.Until()}
+	if last := r.held.Load(); last != nil {
+		t.number = last.number
+	}
+	if !renewed {
+		t.number++
 	}
+	r.held.Store(&t)
 }
 
 // planPauses schedules a pause for each order and announces the pauses to the peers.
@@ -183,10 +205,12 @@
 	err := r.cfg.LeaseLog.Take(ctx, r.lease.NextOffset(), r.cfg.Host, nonce)
 	switch {
 	case err == nil:
-		if !r.lease.IsLastHolder() {
+		renewed := r.lease.IsLastHolder()
+		if !renewed {
 			r.plan.Reset()
 		}
 		r.lease.AppendSucceeded()
+		r.hold(renewed)
 		r.cfg.Logger.Info("lease acquired", "fence", r.lease.FencingToken())
 		return true
 	case feed.IsErrLeaseTaken(err):
@@ -207,7 +231,12 @@
 		r.cfg.Logger.Warn("failed to read lease", "error", err)
 		return
 	}
-	r.lease.Observe(g, r.cfg.Clock.Boot())
+	now := r.cfg.Clock.Boot()
+	r.lease.Observe(g, now)
+	if r.lease.Holds(now) {
+		// An append of this host whose outcome was unknown has succeeded.
+		r.hold(true)
+	}
 	r.cfg.Logger.Info("lease read", "holder", g.Holder, "end", g.End)
 }
 
@@ -271,9 +300,10 @@
 	endpoint *site.Endpoint
 	// step is the order to send; nil for a report.
 	step *plan.Step
-	// until is the end of the lease that has the fencing token fence.
-	until time.Duration
-	fence int64
+	// tenure is the number of the tenure in which the order was planned, and fence the
+	// fencing token with which it was sent.
+	tenure int
+	fence  int64
 
 	report  feed.Report
 	verdict feed.Verdict
@@ -299,10 +329,12 @@
 		}
 		t.step.OrderCount = t.report.OrderCount
 	}
-	if t.r.cfg.Clock.Boot() >= t.until {
+	held := t.r.held.Load()
+	if held.number != t.tenure || t.r.cfg.Clock.Boot() >= held.until {
 		t.err = errLeaseExpired
 		return
 	}
+	t.fence = held.fence
 	t.verdict, t.err = engines.Send(ctx, t.endpoint, feed.Order{
 		Model:        t.step.Model,
 		Version:      t.step.TargetVersion,
