Replace a lost holder of the lease within one lease of its last renewal

A host that wanted the lease learnt of another's grant only when it tried to take it, and then waited a whole lease from there: up to two leases after the last renewal, and one for a grant that had long ended.

The holder now sends the end of its grant with its status, and the others count the lease from when they hear of it, which is never before the grant. If the holder falls silent for half a second they read the log, since its last renewal may have reached nobody.

--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -76,7 +76,7 @@
 	}
 	s := share.New(share.Config{
 		Clock: clock.Real{}, Self: self, Hubs: table, Store: emptyStore{}, Mirror: mirror.New(), Loads: load.New(time.Second),
-		Poison: poison.New(poison.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(),
+		Poison: poison.New(poison.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(), Lease: noLease{},
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: set,
 	})
 	if err := s.Listen(context.Background()); err != nil {
@@ -86,6 +86,13 @@
 	return s
 }
 
+// noLease is the lease of a host that never holds it.
+type noLease struct{}
+
+func (noLease) HeldGrant() int64 { return 0 }
+
+func (noLease) HearGrant(string, int64) {}
+
 func query() place.Query {
 	q := place.Query{Rank: 2}
 	for i := range 3 {
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -59,6 +59,14 @@
 	ReceiveEndpoints(list map[string]*site.Endpoint, started time.Duration)
 }
 
+// Lease is the lease of the host that sends orders to engines.
+type Lease interface {
+	// HeldGrant returns the end offset of the grant that this host holds; 0 if it holds none.
+	HeldGrant() int64
+	// HearGrant records that another host holds the grant with an end offset.
+	HearGrant(holder string, end int64)
+}
+
 // Config configures a Service.
 type Config struct {
 	Clock            Clock
@@ -71,6 +79,7 @@
 	CacheIndex       *kvmap.Index
 	PlacementUpdates *kvmap.Outbox
 	Pauses           *pause.Table
+	Lease            Lease
 	// Interval is the time between status messages.
 	Interval time.Duration
 	Logger   hclog.Logger
@@ -342,6 +351,9 @@
 	s.mergeSuspects(in.GetSuspects())
 	s.receivePauses(in.GetPauses())
 	s.receiveVersions(in.GetVersions())
+	if end := in.GetLeaseEnd(); end > 0 {
+		s.cfg.Lease.HearGrant(in.GetHost(), end)
+	}
 	for _, m := range in.GetPlacements() {
 		p := placementFrom(m, now)
 		s.cfg.CacheIndex.Add(p)
@@ -430,6 +442,7 @@
 		Host:       s.cfg.Self.Name,
 		Domain:     s.cfg.Self.FailureDomain,
 		Leaving:    leaving,
+		LeaseEnd:   s.cfg.Lease.HeldGrant(),
 		Pauses:     s.pauses(),
 		Versions:   s.versions(),
 		Suspects:   s.suspects(),
--- a/router/share/status_test.go
+++ b/router/share/status_test.go
@@ -28,6 +28,13 @@
 	return nil, 0, feed.ReadMark{}, false
 }
 
+// noLease is the lease of a host that never holds it.
+type noLease struct{}
+
+func (noLease) HeldGrant() int64 { return 0 }
+
+func (noLease) HearGrant(string, int64) {}
+
 // While the store rejects a host, its hub does not send it the records again that it has:
 // a configuration with many routes would fill a slow link.
 func TestStatusNamesRecordsOfAFailedRead(t *testing.T) {
@@ -35,7 +42,7 @@
 	self := feed.Host{Name: "h", Address: "127.0.0.1:1"}
 	s := New(Config{
 		Clock: clock.Real{}, Self: self, Hubs: hubs.New(hubs.Config{Self: self}), Store: failingStore{}, Mirror: mirror.New(), Loads: load.New(time.Second),
-		Poison: poison.New(poison.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(),
+		Poison: poison.New(poison.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(), Lease: noLease{},
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: metrics.NewSet(),
 	})
 	is.Equal(s.baseStatus("hub").GetPublishedNext(), int64(7))
--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -82,6 +82,10 @@
 	earlyPause = 60 * time.Millisecond
 	// pauseMargin extends the pause beyond the expected end of the load.
 	pauseMargin = 40 * time.Millisecond
+	// leaseSilence is the time without news of the lease after which a host that waits for
+	// its end reads the log. The holder announces each renewal to its peers, so a silent one
+	// is lost or out of reach, and its last renewal may be unknown.
+	leaseSilence = 500 * time.Millisecond
 	// maxTasks bounds the number of concurrent calls to engines.
 	maxTasks = 64
 )
@@ -93,8 +97,12 @@
 	plan  *plan.Plan
 	// outdatedSince is when engines became outdated; 0 if none is outdated.
 	outdatedSince time.Duration
-	// held is this host's current or last tenure, nil before the first.
-	held atomic.Pointer[tenure]
+	// leaseNews is when this host last learnt of a grant.
+	leaseNews time.Duration
+	// held is this host's current or last tenure, nil before the first; heard is the newest
+	// grant that another host has announced.
+	held  atomic.Pointer[tenure]
+	heard atomic.Pointer[heardGrant]
 	// lastContact is when the last task for each engine was started, by endpoint ID.
 	lastContact map[string]time.Duration
 	// running counts the tasks in progress; finished has capacity for all of them.
@@ -110,6 +118,12 @@
 	until  time.Duration
 }
 
+// heardGrant is a grant that its holder has announced.
+type heardGrant struct {
+	feed.Grant
+	at time.Duration
+}
+
 // New returns a runner that has not started.
 func New(cfg Config) *Runner {
 	return &Runner{
@@ -149,6 +163,7 @@
 		r.outdatedSince = now
 	}
 	r.collectResults()
+	r.observeHeard()
 	if !r.lease.Holds(now) && !r.acquire(ctx, now) {
 		return
 	}
@@ -164,6 +179,39 @@
 	}
 }
 
+// HeldGrant returns the end offset of the grant that this host holds; 0 if it holds none.
+func (r *Runner) HeldGrant() int64 {
+	if t := r.held.Load(); t != nil && r.cfg.Clock.Boot() < t.until {
+		return t.fence
+	}
+	return 0
+}
+
+// HearGrant records that another host has announced its grant with an end offset. The lease
+// counts from now, which is later than the grant.
+func (r *Runner) HearGrant(holder string, end int64) {
+	next := &heardGrant{Grant: feed.Grant{End: end, Holder: holder}, at: r.cfg.Clock.Boot()}
+	for {
+		known := r.heard.Load()
+		if known != nil && known.End > end || r.heard.CompareAndSwap(known, next) {
+			return
+		}
+	}
+}
+
+// observeHeard applies the newest announced grant.
+func (r *Runner) observeHeard() {
+	h := r.heard.Load()
+	if h == nil || h.at <= r.leaseNews || !r.lease.Known() || h.End < r.lease.NextOffset() {
+		return
+	}
+	r.leaseNews = h.at
+	if h.End > r.lease.NextOffset() {
+		r.lease.Observe(h.Grant, h.at)
+		r.cfg.Logger.Info("lease heard", "holder", h.Holder, "end", h.End)
+	}
+}
+
 // hold starts a tenure or extends the current one. The previous grant stays valid for its
 // own time while the outcome of a renewal is unknown.
 func (r *Runner) hold(renewed bool) {
@@ -197,6 +245,9 @@
 		r.readLease(ctx)
 		return false
 	}
+	if r.lease.Wait(now) > 0 && now-r.leaseNews >= leaseSilence {
+		r.readLease(ctx)
+	}
 	if r.lease.Wait(now) > 0 || !r.lease.IsLastHolder() && r.lease.NextOffset() > 0 && now-r.outdatedSince < yieldTime {
 		return false
 	}
@@ -233,6 +284,7 @@
 	}
 	now := r.cfg.Clock.Boot()
 	r.lease.Observe(g, now)
+	r.leaseNews = now
 	if r.lease.Holds(now) {
 		// An append of this host whose outcome was unknown has succeeded.
 		r.hold(true)
--- a/router/weight/weight_test.go
+++ b/router/weight/weight_test.go
@@ -121,3 +121,90 @@
 	}
 	is.Equal(ordered(), 5)
 }
+
+// lostHolder is the lease log of a system whose holder was lost after it renewed the lease.
+type lostHolder struct {
+	mu    sync.Mutex
+	end   int64
+	taken chan struct{}
+}
+
+func (l *lostHolder) Grant(context.Context, int64) (feed.Grant, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return feed.Grant{End: l.end, Holder: "lost", Nonce: fmt.Sprint(l.end)}, nil
+}
+
+func (l *lostHolder) Take(_ context.Context, at int64, _, _ string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at != l.end {
+		return feed.ErrLeaseTaken
+	}
+	l.end++
+	if l.taken != nil {
+		close(l.taken)
+		l.taken = nil
+	}
+	return nil
+}
+
+// newWaiting returns a runner that is a candidate for the lease of another host.
+func newWaiting(t *testing.T, l *lostHolder, local *mirror.Mirror, duration time.Duration) *Runner {
+	t.Helper()
+	c := clock.New()
+	e := &engines{clock: c, pauses: pause.New(), paused: make(map[string]time.Duration)}
+	return New(Config{
+		Clock: c, Host: "h", Lease: duration, Mirror: local, MayLead: func() bool { return true }, LeaseLog: l,
+		Engines: e, Loads: func() map[string]int { return nil }, Pauses: e.pauses, Announce: func(context.Context) {},
+		PropagationTime: func() time.Duration { return 80 * time.Millisecond }, Logger: hclog.NewNullLogger(),
+	})
+}
+
+func TestHolderLostAfterARenewalIsReplacedWithinOneLease(t *testing.T) {
+	is := is.New(t)
+	local := newMirror(t, 5)
+	local.SetWeights("m", 2, 0)
+	l := &lostHolder{end: 1, taken: make(chan struct{})}
+	taken := l.taken
+	r := newWaiting(t, l, local, 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	r.Step(ctx) // reads the grant
+	l.mu.Lock()
+	l.end = 2 // the last renewal of the lost holder
+	l.mu.Unlock()
+	started := time.Now()
+	go r.Run(ctx)
+	select {
+	case <-taken:
+	case <-ctx.Done():
+	}
+	is.True(time.Since(started) < 3*time.Second) // one lease, and the time to notice the silence
+	is.True(time.Since(started) > 2*time.Second) // never before the lease has ended
+}
+
+func TestLeaseThatHasEndedIsTakenAtOnce(t *testing.T) {
+	is := is.New(t)
+	local := newMirror(t, 5)
+	local.SetWeights("m", 2, 0)
+	l := &lostHolder{end: 1, taken: make(chan struct{})}
+	taken := l.taken
+	const duration = 2 * time.Second
+	r := newWaiting(t, l, local, duration)
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	r.Step(ctx) // reads the grant
+	l.mu.Lock()
+	l.end = 2
+	l.mu.Unlock()
+	r.HearGrant("lost", 2)
+	time.Sleep(duration)
+	started := time.Now()
+	go r.Run(ctx)
+	select {
+	case <-taken:
+	case <-ctx.Done():
+	}
+	is.True(time.Since(started) < time.Second)
+}
