Order an engine again that restarted while it loaded weights

An order that an engine had accepted counted as in progress for 6 s, also if the engine crashed and came back under its ID within a few seconds. It has then the old weights and knows nothing of the order, so it stayed on them past the bound.

TestRestartedEngineIsOrderedAgain failed before: the next order went to another engine.

--- a/core/coord/plan/plan.go
+++ b/core/coord/plan/plan.go
@@ -144,6 +144,7 @@
 // least loaded ones among equals. Each is due after leadTime. Loads in progress that are
 // expected to finish by then don't count towards maxLoadingShare.
 func (p *Plan) Next(v *mirror.View, load map[string]int, now, leadTime time.Duration) []Step {
+	p.dropRestarted(v)
 	outdated := p.Outdated(v, now)
 	isOutdated := make(map[string]bool, len(outdated))
 	for _, s := range outdated {
@@ -178,6 +179,18 @@
 	return out
 }
 
+// dropRestarted drops the orders to engines that have restarted under their ID since. Such an
+// engine knows nothing of an order, and counts its orders from 0 again.
+func (p *Plan) dropRestarted(v *mirror.View) {
+	for id, active := range p.inProgress {
+		if e := v.Endpoints[id]; e != nil && !e.Started.Equal(active.step.Endpoint.Started) {
+			delete(p.inProgress, id)
+			delete(p.orderCounts, id)
+			delete(p.reports, id)
+		}
+	}
+}
+
 // HandleVerdict records an engine's verdict on an order, or the error of the call.
 func (p *Plan) HandleVerdict(s Step, verdict feed.Verdict, err error, now time.Duration) {
 	id := s.Endpoint.ID
--- a/core/coord/plan/plan_test.go
+++ b/core/coord/plan/plan_test.go
@@ -126,3 +126,24 @@
 	is.Equal(len(outdated), 1)
 	is.Equal(outdated[0].Endpoint.ID, "e01")
 }
+
+// An engine may crash while it loads weights, and come back under its ID with the old ones.
+func TestRestartedEngineIsOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	m, list := newMirror(t, 5)
+	m.SetWeights("m", 2, 0)
+	p := plan.New()
+	first := p.Next(m.View(), nil, 0, 0)
+	is.Equal(len(first), 1)
+	id := first[0].Endpoint.ID
+	first[0].OrderCount = 3
+	p.HandleVerdict(first[0], feed.Accepted, nil, 0)
+	restarted := *list[id]
+	restarted.Started = time.Unix(100, 0)
+	list[id] = &restarted
+	m.SetEndpoints(list)
+	again := p.Next(m.View(), nil, time.Second, 0)
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Endpoint.ID, id)
+	is.Equal(again[0].OrderCount, plan.UnknownOrderCount)
+}
