--- a/router/weight/weight_test.go
+++ b/router/weight/weight_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"cicadastand.dev/core/coord/pause"
+	"cicadastand.dev/core/coord/plan"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/mirror"
@@ -122,6 +123,25 @@
 	is.Equal(ordered(), 5)
 }
 
+// Another host may have sent orders between two tenures of this one.
+func TestOrderOfAnEndedTenureIsDropped(t *testing.T) {
+	is := is.New(t)
+	local := newMirror(t, 1)
+	c := clock.New()
+	e := &engines{clock: c, pauses: pause.New(), paused: make(map[string]time.Duration)}
+	r := New(Config{Clock: c, Lease: time.Minute, Mirror: local, Engines: e, Pauses: e.pauses, Logger: hclog.NewNullLogger()})
+	r.held.Store(&tenure{number: 2, fence: 7, until: c.Boot() + time.Minute})
+	for _, planned := range []struct {
+		tenure int
+		sent   bool
+	}{{tenure: 1}, {tenure: 2, sent: true}} {
+		order := &task{r: r, endpoint: local.View().Endpoints["e0"], step: &plan.Step{Endpoint: local.View().Endpoints["e0"], OrderCount: 1}, tenure: planned.tenure}
+		order.execute(context.Background())
+		is.Equal(order.err == nil, planned.sent)
+		is.Equal(len(e.paused) == 1, planned.sent)
+	}
+}
+
 // lostHolder is the lease log of a system whose holder was lost after it renewed the lease.
 type lostHolder struct {
 	mu    sync.Mutex
