Show that a prompt part that crashes engines is sent on

A part of prompts may crash each engine that begins to write on it, whatever else the request holds. The hosts compare whole requests, so requests that share only that part go on to crash engines.

--- a/router/hosted/cluster_test.go
+++ b/router/hosted/cluster_test.go
@@ -201,6 +201,12 @@
 }
 
 func (c *cluster) send(h host, method, path, id, key, body string) response {
+	c.t.Helper()
+	return c.sendPrompt(h, method, path, id, key, body, "aa:800,bb:200")
+}
+
+// sendPrompt sends a request whose prompt has the given parts.
+func (c *cluster) sendPrompt(h host, method, path, id, key, body, parts string) response {
 	c.t.Helper()
 	req, err := http.NewRequest(method, h.url, strings.NewReader(body))
 	if err != nil {
@@ -210,7 +216,7 @@
 	req.Host = "a.example"
 	for name, value := range map[string]string{
 		"X-Request-Id": id, "X-Deadline-Ms": "2500", "X-Model": "m", "X-Token-Usage": "1000,20",
-		"X-Prompt-Prefix": "aa:800,bb:200", "X-Tenant": "forged", "X-Hold": "forged",
+		"X-Prompt-Prefix": parts, "X-Tenant": "forged", "X-Hold": "forged",
 	} {
 		req.Header.Set(name, value)
 	}
--- /dev/null
+++ b/router/hosted/taint_test.go
@@ -0,0 +1,195 @@
+package hosted_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cicadastand.dev/stand/server"
+)
+
+// taintedPart is the part of prompts that crashes engines.
+const taintedPart = "dd"
+
+// crashing is a set of engines that crash on a part of prompts. After a crash, a new
+// engine is listed in place of the old one.
+type crashing struct {
+	c       *cluster
+	crashes atomic.Int64
+
+	mu      sync.Mutex
+	started int
+	closed  bool
+	engines []*server.Endpoint
+	stopped []*http.Server
+}
+
+// restartAfter is how long it takes until a new engine is in place of a crashed one.
+const restartAfter = 250 * time.Millisecond
+
+// engineProcess is one incarnation of an engine.
+type engineProcess struct {
+	set  *crashing
+	id   string
+	http *http.Server
+	once sync.Once
+}
+
+// start starts one engine and adds its entry to the store.
+func (s *crashing) start() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen for engine: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return l.Close()
+	}
+	s.started++
+	p := &engineProcess{set: s, id: fmt.Sprint("i-", s.started)}
+	e := server.New(server.Config{ID: p.id, Name: "m", Events: 2, Pause: 30 * time.Millisecond, Crash: p.crash})
+	e.SetBehavior(func(r *http.Request) server.Behavior {
+		if strings.Contains(r.Header.Get("X-Prompt-Prefix"), taintedPart+":") {
+			return server.Crash
+		}
+		return server.Respond
+	})
+	p.http = &http.Server{Handler: e}
+	s.engines, s.stopped = append(s.engines, e), append(s.stopped, p.http)
+	go p.run(l)
+	return s.c.store.Put("keyed.servers", p.id, e.Entry("engines", l.Addr().String(), "zone-0", "ready", 1))
+}
+
+func (p *engineProcess) run(l net.Listener) { _ = p.http.Serve(l) }
+
+// crash closes the listener and all connections of an engine. Its entry is removed as
+// the new one is listed, since a crashed engine does not sign off.
+func (p *engineProcess) crash() { p.once.Do(p.end) }
+
+func (p *engineProcess) end() {
+	p.set.crashes.Add(1)
+	_ = p.http.Close()
+	time.AfterFunc(restartAfter, p.replace)
+}
+
+func (p *engineProcess) replace() {
+	_ = p.set.c.store.Put("keyed.servers", p.id, nil)
+	_ = p.set.start()
+}
+
+func (s *crashing) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, h := range s.stopped {
+		_ = h.Close()
+	}
+}
+
+// taintedRuns returns how often a request with the tainted part ran.
+func (s *crashing) taintedRuns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.engines {
+		for _, run := range e.Runs() {
+			if strings.Contains(run.Header.Get("X-Prompt-Prefix"), taintedPart+":") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// startCrashing starts a number of engines that crash on the tainted part.
+func (c *cluster) startCrashing(engines int) *crashing {
+	c.t.Helper()
+	s := &crashing{c: c}
+	c.t.Cleanup(s.close)
+	for range engines {
+		if err := s.start(); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	return s
+}
+
+// soundLoad sends requests that share the account and the first part of the prompt with
+// tainted ones.
+type soundLoad struct {
+	c    *cluster
+	h    host
+	name string
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+func (l *soundLoad) send(n int) response {
+	id := fmt.Sprint("sound-", l.name, n)
+	return l.c.sendPrompt(l.h, "POST", "/chat/", id, "key", id, fmt.Sprintf("aa:800,b%d:300,c%s%d:100", n%4, l.name, n))
+}
+
+func (l *soundLoad) run() {
+	defer l.done.Done()
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(5 * time.Millisecond): // the pace of the requests
+			l.send(n)
+		}
+	}
+}
+
+// A part of a prompt crashes each engine that begins to write on it. Requests with that
+// part come at all hosts, none like another; sound ones share the account and the first
+// part with them. Only the requests with that part are rejected, after few crashes.
+func TestPromptPartThatCrashesEnginesIsNotSentOn(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	engines := c.startCrashing(12)
+	c.startServing()
+	var loads []*soundLoad
+	for i, h := range c.hosts {
+		l := &soundLoad{c: c, h: h, name: fmt.Sprint(i), stop: make(chan struct{})}
+		l.done.Add(1)
+		go l.run()
+		loads = append(loads, l)
+	}
+	tainted := func(n int) response {
+		id := fmt.Sprint("tainted-", n)
+		return c.sendPrompt(c.hosts[n%len(c.hosts)], "POST", "/chat/", id, "key", id, fmt.Sprintf("aa:800,%s:400,e%d:100", taintedPart, n))
+	}
+	const requests = 15
+	for n := range requests {
+		tainted(n)
+		time.Sleep(100 * time.Millisecond) // the pace of the requests
+	}
+	t.Logf("%d crashes, %d runs", engines.crashes.Load(), engines.taintedRuns())
+	is.True(engines.crashes.Load() <= 6) // three crashes, and what was on its way
+
+	ran := engines.taintedRuns()
+	for n := range 2 * len(c.hosts) {
+		got := tainted(requests + n)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.Equal(got.header.Get("Retry-After"), "")
+		is.True(strings.Contains(got.body, taintedPart))
+	}
+	is.Equal(engines.taintedRuns(), ran)
+	for _, l := range loads {
+		close(l.stop)
+		l.done.Wait()
+	}
+	const soundFrom = 10_000 // numbers that the load has not used
+	for n := range 12 {
+		is.Equal(loads[n%len(loads)].send(soundFrom+n).status, http.StatusOK)
+	}
+}
--- a/stand/server/server.go
+++ b/stand/server/server.go
@@ -34,6 +34,8 @@
 	// Pause is the time before each event.
 	Events int
 	Pause  time.Duration
+	// Crash ends the process of the endpoint; used by the behavior of the same name.
+	Crash func()
 }
 
 // Endpoint is one instance of an engine or a service. It is safe for concurrent use.
@@ -79,6 +81,8 @@
 	// SendEndlessBody executes the request and responds with a body, or in a stream with
 	// one event, that does not end until the caller closes the connection.
 	SendEndlessBody
+	// Crash executes the request and crashes after one pause, before it responds.
+	Crash
 )
 
 const (
@@ -242,6 +246,10 @@
 		panic(http.ErrAbortHandler)
 	case behavior == SendEndlessBody:
 		e.writeBody(w, math.MaxInt)
+	case behavior == Crash:
+		time.Sleep(e.cfg.Pause) // other requests begin meanwhile
+		e.cfg.Crash()
+		panic(http.ErrAbortHandler)
 	case e.cfg.Events > 0:
 		e.stream(w, r, behavior)
 	case behavior == BreakConnection:
