Reject the prompt part that crashes engines

Cause: suspects are whole requests (account, path, body). Requests that share only a part have different fingerprints, so none reached the limit.

core/coord/taint keeps pairs of a shared part and a crashed incarnation. A request that its engine broke off before the first event gives its parts a pair once a new connection to the engine is refused; a connection that is only broken, a timeout and a lost link give none. A first event dismisses the pairs of its parts, and dismissed wins in every merge, so hosts can exchange pairs in any order. A part with three pairs is rejected before anything is sent, and explains its crashes for the parts ahead of it, so the system prompt is not rejected with the document. A part that had an event within 2 s of a crash gets no pair: in a wave of crashes all requests on the system prompt would wait for each other's events otherwise.

--- a/router/hosted/cluster_test.go
+++ b/router/hosted/cluster_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,6 +47,27 @@
 	*hosted.Host
 	url   string
 	ready string
+	log   *hostLog
+}
+
+// hostLog holds what a host has logged.
+type hostLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *hostLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// count returns how often a text was logged.
+func (l *hostLog) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Count(l.text.Bytes(), []byte(text))
 }
 
 func newCluster(t *testing.T, hosts int) *cluster {
@@ -108,12 +131,13 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	h := hosted.New(hosted.Config{Platform: p, Clock: clock.New(), Logger: hclog.New(&hclog.LoggerOptions{Output: io.Discard})})
+	log := &hostLog{}
+	h := hosted.New(hosted.Config{Platform: p, Clock: clock.New(), Logger: hclog.New(&hclog.LoggerOptions{Output: log})})
 	if err := h.Start(context.Background()); err != nil {
 		c.t.Fatal(err)
 	}
 	c.t.Cleanup(h.Close)
-	return host{Host: h, url: "http://" + callers.String(), ready: "http://" + ready.String() + platform.ReadinessPath}
+	return host{Host: h, url: "http://" + callers.String(), ready: "http://" + ready.String() + platform.ReadinessPath, log: log}
 }
 
 // startEndpoint starts an endpoint and adds its entry to the store.
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -19,6 +19,7 @@
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
@@ -108,6 +109,8 @@
 	// suspectRetention is how long a request that crashed endpoints is recorded as a
 	// suspect.
 	suspectRetention = time.Minute
+	// taintRetention is how long a crash of an engine counts against parts of prompts.
+	taintRetention = 10 * time.Minute
 	// retryBudgetShare is the fraction of the shared retry budget that is used, because
 	// hosts learn of each other's retries with a delay.
 	retryBudgetShare = 0.8
@@ -137,6 +140,7 @@
 	cacheIndex *kvmap.Index
 	ejection   *eject.Table
 	pauses     *pause.Table
+	taint      *taint.Table
 	conns      *conns.Pool
 	relay      *relay.Relay
 	share      *share.Service
@@ -166,6 +170,7 @@
 		metrics:    metrics.NewSet(),
 	}
 	suspects := poison.New(poison.Config{Retention: suspectRetention})
+	h.taint = taint.New(taint.Config{Retention: taintRetention, Report: h.logTaint})
 	retryBudget := budget.New(budget.Config{
 		Window: s.Bounds.RetryWindow,
 		Ratio:  retryBudgetShare * s.Bounds.RetryRatio,
@@ -192,6 +197,7 @@
 		Pauses:           h.pauses,
 		Budget:           retryBudget,
 		Poison:           suspects,
+		Taint:            h.taint,
 		SampleSize:       h.sampleSize,
 		Placer:           h,
 		IsPartitioned:    h.isPartitioned,
@@ -223,6 +229,7 @@
 		Store:            h.watch,
 		Loads:            h.loads,
 		Poison:           suspects,
+		Taint:            h.taint,
 		CacheIndex:       h.cacheIndex,
 		PlacementUpdates: placementUpdates,
 		Pauses:           h.pauses,
@@ -255,6 +262,15 @@
 	return h
 }
 
+// logTaint logs that a part of prompts became rejected, or is no longer.
+func (h *Host) logTaint(c taint.Change) {
+	if !c.Rejected {
+		h.cfg.Logger.Info("prompt part is no longer rejected", "part", c.Part, "from-peer", c.FromPeer)
+		return
+	}
+	h.cfg.Logger.Warn("prompt part is rejected because it crashes engines", "part", c.Part, "crashes", len(c.Endpoints), "endpoints", c.Endpoints, "from-peer", c.FromPeer)
+}
+
 // sampleSize returns how many engines are sampled for a placement. The sample is smaller
 // if hosts learn of each other's requests through hubs.
 func (h *Host) sampleSize() int {
@@ -315,6 +331,8 @@
 			h.cacheIndex.Retain(func(id string) bool { return known(id) || isCacheStore(view.Config, id) })
 			h.ejection.Retain(known)
 			h.relay.Prune(known)
+			h.relay.PruneCrashes(known)
+			h.taint.Sweep(h.cfg.Clock.Boot())
 		case <-ctx.Done():
 			return
 		}
--- a/router/hosted/taint_test.go
+++ b/router/hosted/taint_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -157,6 +158,9 @@
 	c := newCluster(t, 3)
 	engines := c.startCrashing(12)
 	c.startServing()
+	for _, h := range c.hosts {
+		c.eventually("host knows the others", func() bool { return h.log.count("host registered") >= len(c.hosts)-1 })
+	}
 	var loads []*soundLoad
 	for i, h := range c.hosts {
 		l := &soundLoad{c: c, h: h, name: fmt.Sprint(i), stop: make(chan struct{})}
@@ -184,6 +188,9 @@
 		is.True(strings.Contains(got.body, taintedPart))
 	}
 	is.Equal(engines.taintedRuns(), ran)
+	for _, h := range c.hosts {
+		is.Equal(h.log.count("prompt part is rejected"), 1) // no other part is
+	}
 	for _, l := range loads {
 		close(l.stop)
 		l.done.Wait()
@@ -193,3 +200,29 @@
 		is.Equal(loads[n%len(loads)].send(soundFrom+n).status, http.StatusOK)
 	}
 }
+
+// Engines that break connections off before the first event, but accept new ones, have not
+// crashed: no part of the prompts is rejected.
+func TestBrokenConnectionsOfLiveEnginesRejectNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	var reached atomic.Int64
+	for n := range 4 {
+		id := fmt.Sprint("i-", n)
+		c.startEndpoint(id, "engines", "zone-0", server.Config{Name: "m"})
+		c.startRawServer(id, "engines", func(conn net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				reached.Add(1)
+			}
+		})
+	}
+	c.startServing()
+	const requests = 8
+	for n := range requests {
+		id := fmt.Sprint("r", n)
+		is.Equal(c.sendPrompt(c.hosts[0], "POST", "/chat/", id, "key", id, fmt.Sprintf("aa:800,ab:400,e%d:100", n)).status, http.StatusBadGateway)
+	}
+	is.True(reached.Load() >= requests)
+	is.Equal(c.hosts[0].log.count("endpoint crashed"), 0)
+	is.Equal(c.hosts[0].log.count("prompt part"), 0)
+}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -25,6 +25,9 @@
 	if err := r.cfg.Poison.Check(j.fingerprint, maxCrashes, r.cfg.Clock.Now()); err != nil {
 		return false, newRejection(http.StatusServiceUnavailable, 0, "%v", err)
 	}
+	if err := j.checkParts(); err != nil {
+		return false, newRejection(http.StatusServiceUnavailable, 0, "%v", err)
+	}
 	c, fault := j.choose(ctx)
 	if fault != nil {
 		return false, fault
@@ -122,6 +125,7 @@
 	if ctx.Err() != nil {
 		return false, errTimeout
 	}
+	j.suspectCrash(c, err)
 	return j.recordPossibleCrash(fmt.Sprintf("endpoint %s broke off: %v", c.endpoint.ID, err))
 }
 
@@ -171,8 +175,12 @@
 		if ctx.Err() != nil {
 			return false, errTimeout
 		}
+		j.suspectCrash(c, err)
 		return j.recordPossibleCrash(fmt.Sprintf("endpoint %s cut its answer: %v", c.endpoint.ID, err))
 	}
+	if success {
+		j.recordSound()
+	}
 	full := &response{status: resp.Status, header: resp.Header, body: body, length: int64(len(body))}
 	if len(body) > maxBufferedResponse {
 		full.length, full.rest = resp.Length, resp
--- /dev/null
+++ b/router/relay/crash.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/core/state/site"
+	"cicadastand.dev/router/conns"
+)
+
+const (
+	// maxConfirmations bounds the crashes that are confirmed at once, and maxSuspects the
+	// requests that wait for one confirmation. More are ignored.
+	maxConfirmations = 64
+	maxSuspects      = 256
+)
+
+// crashes finds out whether an endpoint that broke off requests has crashed: its host then
+// refuses new connections. Lost and garbled responses leave no trace, and neither do links
+// and hosts that are lost, since they don't answer.
+//
+// Lock order: crashes.mu is a leaf.
+type crashes struct {
+	r *Relay
+
+	mu sync.Mutex
+	// running are the confirmations in progress, and confirmed the IDs of the endpoints
+	// that crashed, both by incarnation.
+	running   map[string]*confirmation
+	confirmed map[string]string
+}
+
+func newCrashes(r *Relay) *crashes {
+	return &crashes{r: r, running: make(map[string]*confirmation), confirmed: make(map[string]string)}
+}
+
+// confirmation opens one connection to an endpoint on behalf of the requests that it has
+// broken off.
+type confirmation struct {
+	crashes     *crashes
+	target      conns.Target
+	incarnation string
+	suspects    []suspectRequest
+}
+
+// suspectRequest is a request that had no event when its endpoint broke it off.
+type suspectRequest struct {
+	id    string
+	parts []string
+}
+
+// incarnation identifies one start of an endpoint, which may keep its ID.
+func incarnation(e *site.Endpoint) string {
+	if e.Started.IsZero() {
+		return e.ID
+	}
+	const base = 36
+	return e.ID + "/" + strconv.FormatInt(e.Started.UnixMilli(), base)
+}
+
+// suspect records that an endpoint broke off a request, without waiting.
+func (c *crashes) suspect(e *site.Endpoint, s suspectRequest) {
+	key := incarnation(e)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.confirmed[key]; ok {
+		c.r.cfg.Taint.RecordCrash(key, s.parts, c.r.cfg.Clock.Boot())
+		return
+	}
+	if running := c.running[key]; running != nil {
+		if len(running.suspects) < maxSuspects {
+			running.suspects = append(running.suspects, s)
+		}
+		return
+	}
+	if len(c.running) >= maxConfirmations {
+		return
+	}
+	started := &confirmation{
+		crashes:     c,
+		target:      conns.Target{Incarnation: e.ID, Address: e.Address},
+		incarnation: key,
+		suspects:    []suspectRequest{s},
+	}
+	c.running[key] = started
+	go started.run(context.Background())
+}
+
+func (f *confirmation) run(ctx context.Context) {
+	c := f.crashes
+	err := c.r.cfg.Conns.Probe(ctx, f.target)
+	crashed := errors.Is(err, syscall.ECONNREFUSED)
+	c.mu.Lock()
+	delete(c.running, f.incarnation)
+	if crashed {
+		c.confirmed[f.incarnation] = f.target.Incarnation
+	}
+	c.mu.Unlock()
+	if !crashed {
+		return
+	}
+	now := c.r.cfg.Clock.Boot()
+	for _, s := range f.suspects {
+		c.r.cfg.Taint.RecordCrash(f.incarnation, s.parts, now)
+	}
+	parts := lo.Uniq(lo.FlatMap(f.suspects, func(s suspectRequest, _ int) []string { return s.parts }))
+	slices.Sort(parts)
+	c.r.cfg.Logger.Warn("endpoint crashed before the first event of requests", "id", f.suspects[0].id, "endpoint", f.target.Incarnation,
+		"requests", len(f.suspects), "parts", parts, "error", err)
+}
+
+// PruneCrashes removes the crashes of endpoints that are no longer listed.
+func (r *Relay) PruneCrashes(known func(endpoint string) bool) {
+	r.crashes.mu.Lock()
+	defer r.crashes.mu.Unlock()
+	maps.DeleteFunc(r.crashes.confirmed, func(_, endpoint string) bool { return !known(endpoint) })
+}
+
+// isDisconnect reports whether an error is a reset or the end of a connection. A timeout
+// is neither, nor are bytes that are no response.
+func isDisconnect(err error) bool {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errEventTruncated) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// suspectCrash records that an endpoint broke off the request before its first event.
+func (j *job) suspectCrash(c choice, err error) {
+	if j.started || len(j.shared) == 0 || !j.isModel() || !isDisconnect(err) {
+		return
+	}
+	j.r.crashes.suspect(c.endpoint, suspectRequest{id: j.params.ID, parts: j.shared})
+}
+
+// recordSound records that the parts of the request's prompt crash no engine.
+func (j *job) recordSound() {
+	if len(j.shared) > 0 && j.isModel() {
+		j.r.cfg.Taint.RecordFirstEvent(j.shared, j.r.cfg.Clock.Boot())
+	}
+}
+
+// checkParts rejects a request with a part that crashes engines. A stream that has begun
+// has no such part.
+func (j *job) checkParts() error {
+	if j.started || len(j.shared) == 0 || !j.isModel() {
+		return nil
+	}
+	err := j.r.cfg.Taint.Check(j.shared)
+	if err != nil {
+		j.r.tainted.Inc()
+	}
+	return err
+}
+
+func sharedParts(p *call.Request) []string {
+	return lo.Map(p.Shared(), func(part call.Part, _ int) string { return part.ID })
+}
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -49,6 +49,8 @@
 	serviceName string
 	body        []byte
 	fingerprint poison.Fingerprint
+	// shared are the parts of the prompt that other requests can have too, in order.
+	shared []string
 	// deadline is when the client or the route times out, whichever is first;
 	// clientDeadline is when the client does.
 	deadline       time.Time
@@ -74,7 +76,8 @@
 }
 
 func (r *Relay) newJob(w http.ResponseWriter, req *http.Request) *job {
-	return &job{r: r, w: w, req: req, start: r.cfg.Clock.Now(), params: r.cfg.Codec.Request(req.Header), tried: make(map[string]bool), outcome: "none"}
+	params := r.cfg.Codec.Request(req.Header)
+	return &job{r: r, w: w, req: req, start: r.cfg.Clock.Now(), params: params, shared: sharedParts(&params), tried: make(map[string]bool), outcome: "none"}
 }
 
 // admit matches the route, authenticates the client, and then reads the body.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -17,6 +17,7 @@
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
@@ -62,6 +63,8 @@
 	PlacementUpdates *kvmap.Outbox
 	Budget           *budget.Tracker
 	Poison           *poison.Table
+	// Taint holds the parts of prompts that crash engines.
+	Taint *taint.Table
 	// SampleSize returns the number of engines that a placement considers.
 	SampleSize func() int
 	Placer     Placer
@@ -87,6 +90,7 @@
 	cfg        Config
 	prefill    *prefillRates
 	weights    *reportedWeights
+	crashes    *crashes
 	roundRobin atomic.Uint64
 	buffered   atomic.Int64
 	inFlight   atomic.Int64
@@ -94,6 +98,7 @@
 
 	latency   *metrics.Histogram
 	firstByte *metrics.Histogram
+	tainted   *metrics.Counter
 }
 
 // New returns a Relay and registers its metrics.
@@ -104,7 +109,9 @@
 		weights:   newReportedWeights(),
 		latency:   cfg.Metrics.NewHistogram("cicada_relay_seconds"),
 		firstByte: cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
+		tainted:   cfg.Metrics.NewCounter("cicada_relay_tainted_total"),
 	}
+	r.crashes = newCrashes(r)
 	return r
 }
 
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -89,12 +89,16 @@
 	for {
 		event, err := source.next()
 		if errors.Is(err, io.EOF) {
+			if first {
+				j.suspectCrash(c, err)
+			}
 			return j.endStream(first, c)
 		}
 		if err != nil {
 			if ctx.Err() != nil {
 				return false, errTimeout
 			}
+			j.suspectCrash(c, err)
 			return j.recordPossibleCrash(fmt.Sprintf("endpoint %s broke off after event %d: %v", c.endpoint.ID, j.lastEvent, err))
 		}
 		if first {
@@ -102,6 +106,7 @@
 			tracked.MarkRunning()
 			j.recordStored(c)
 			j.recordFirstEvent(c, sent)
+			j.recordSound()
 		}
 		if err := j.writeEvent(resp, event); err != nil {
 			if errors.Is(err, errEventOrder) {
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -10,6 +10,7 @@
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/proto/loadpb"
@@ -61,6 +62,30 @@
 	}), now)
 }
 
+// crashes returns the evidence that peers may lack on parts of prompts that crash engines.
+func (s *Service) crashes() []*loadpb.Crash {
+	now := s.cfg.Clock.Boot()
+	byEndpoint := lo.GroupBy(s.cfg.Taint.Pairs(maxTaints, now), func(p taint.Pair) string { return p.Endpoint })
+	return lo.MapToSlice(byEndpoint, func(endpoint string, pairs []taint.Pair) *loadpb.Crash {
+		crashed := lo.MinBy(pairs, func(a, b taint.Pair) bool { return a.Crashed < b.Crashed }).Crashed
+		return &loadpb.Crash{Endpoint: endpoint, AgeMs: uint32(max(0, (now - crashed).Milliseconds())), Parts: lo.Map(pairs, taintMessage)}
+	})
+}
+
+func taintMessage(p taint.Pair, _ int) *loadpb.Taint {
+	return &loadpb.Taint{Id: p.Part, Depth: uint32(p.Depth), Dismissed: p.Dismissed}
+}
+
+func (s *Service) mergeCrashes(in []*loadpb.Crash) {
+	now := s.cfg.Clock.Boot()
+	s.cfg.Taint.Merge(lo.FlatMap(in, func(c *loadpb.Crash, _ int) []taint.Pair {
+		crashed := now - time.Duration(c.GetAgeMs())*time.Millisecond
+		return lo.Map(c.GetParts(), func(p *loadpb.Taint, _ int) taint.Pair {
+			return taint.Pair{Part: p.GetId(), Endpoint: c.GetEndpoint(), Depth: int(p.GetDepth()), Crashed: crashed, Dismissed: p.GetDismissed()}
+		})
+	}), now)
+}
+
 // pauses returns the current pauses with their start and end relative to now, since
 // hosts don't share a clock.
 func (s *Service) pauses() []*loadpb.Pause {
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -16,6 +16,7 @@
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
@@ -75,7 +76,7 @@
 	}
 	s := share.New(share.Config{
 		Clock: clock.Real{}, Self: self, Hubs: table, Store: emptyStore{}, Loads: load.New(time.Second),
-		Poison: poison.New(poison.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(),
+		Poison: poison.New(poison.Config{Retention: time.Second}), Taint: taint.New(taint.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(),
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: set,
 	})
 	if err := s.Listen(context.Background()); err != nil {
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -23,6 +23,7 @@
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/proto/loadpb"
 	"cicadastand.dev/core/state/clock"
@@ -66,6 +67,7 @@
 	Store            StoreState
 	Loads            *load.Table
 	Poison           *poison.Table
+	Taint            *taint.Table
 	CacheIndex       *kvmap.Index
 	PlacementUpdates *kvmap.Outbox
 	Pauses           *pause.Table
@@ -84,6 +86,8 @@
 	hubRoleTimeout = 1500 * time.Millisecond
 	// maxSuspects bounds the number of suspect requests in one message.
 	maxSuspects = 32
+	// maxTaints bounds the pairs of a part and a crash in one message.
+	maxTaints = 256
 )
 
 // Service sends the state of this host to its peers and receives theirs.
@@ -289,6 +293,7 @@
 	}
 	s.receivePauses(in.GetPauses())
 	s.mergeSuspects(in.GetSuspects())
+	s.mergeCrashes(in.GetCrashes())
 	for _, p := range in.GetPlacements() {
 		s.cfg.CacheIndex.Add(placementFrom(p, now))
 	}
@@ -334,6 +339,7 @@
 		s.cfg.Loads.UpdatePeer(name, scope, workFrom(in.GetWork()), now)
 	}
 	s.mergeSuspects(in.GetSuspects())
+	s.mergeCrashes(in.GetCrashes())
 	s.receivePauses(in.GetPauses())
 	for _, m := range in.GetPlacements() {
 		p := placementFrom(m, now)
@@ -370,6 +376,7 @@
 		Work:       workMessage(s.cfg.Loads.TotalExcept(in.GetHost(), now)),
 		Pauses:     s.pauses(),
 		Suspects:   s.suspects(),
+		Crashes:    s.crashes(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(in.GetHost(), now), placementMessage),
 	}
 	s.addReads(out, in, func(feed.ReadMark) bool { return true })
@@ -424,6 +431,7 @@
 		Leaving:    leaving,
 		Pauses:     s.pauses(),
 		Suspects:   s.suspects(),
+		Crashes:    s.crashes(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(hubSubscriber+to, s.cfg.Clock.Boot()), placementMessage),
 	}
 	if _, fingerprint, _, ok := s.cfg.Store.Endpoints(); ok {
--- a/router/share/status_test.go
+++ b/router/share/status_test.go
@@ -12,6 +12,7 @@
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
@@ -34,7 +35,7 @@
 	self := feed.Host{Name: "h", Address: "127.0.0.1:1"}
 	s := New(Config{
 		Clock: clock.Real{}, Self: self, Hubs: hubs.New(hubs.Config{Self: self}), Store: failingStore{}, Loads: load.New(time.Second),
-		Poison: poison.New(poison.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(),
+		Poison: poison.New(poison.Config{Retention: time.Second}), Taint: taint.New(taint.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(),
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: metrics.NewSet(),
 	})
 	is.Equal(s.baseStatus("hub").GetPublishedNext(), int64(7))
