--- a/router/hosted/cluster_test.go
+++ b/router/hosted/cluster_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,6 +49,27 @@
 	*hosted.Host
 	url   string
 	ready string
+	log   *hostLog
+}
+
+// hostLog holds what a host has logged.
+type hostLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *hostLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// count returns how often a text was logged.
+func (l *hostLog) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Count(l.text.Bytes(), []byte(text))
 }
 
 func newCluster(t *testing.T, hosts int) *cluster {
@@ -110,12 +133,13 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	h := hosted.New(hosted.Config{Platform: p, Clock: clock.New(), Logger: hclog.New(&hclog.LoggerOptions{Output: io.Discard})})
+	log := &hostLog{}
+	h := hosted.New(hosted.Config{Platform: p, Clock: clock.New(), Logger: hclog.New(&hclog.LoggerOptions{Output: log})})
 	if err := h.Start(context.Background()); err != nil {
 		c.t.Fatal(err)
 	}
 	c.t.Cleanup(h.Close)
-	return host{Host: h, url: "http://" + callers.String(), ready: "http://" + ready.String() + platform.ReadinessPath}
+	return host{Host: h, url: "http://" + callers.String(), ready: "http://" + ready.String() + platform.ReadinessPath, log: log}
 }
 
 // startEndpoint starts an endpoint and adds its entry to the store.
@@ -203,6 +227,12 @@
 }
 
 func (c *cluster) send(h host, method, path, id, key, body string) response {
+	c.t.Helper()
+	return c.sendPrompt(h, method, path, id, key, body, "aa:800,bb:200")
+}
+
+// sendPrompt sends a request whose prompt has the given parts.
+func (c *cluster) sendPrompt(h host, method, path, id, key, body, parts string) response {
 	c.t.Helper()
 	req, err := http.NewRequest(method, h.url, strings.NewReader(body))
 	if err != nil {
@@ -212,7 +242,7 @@
 	req.Host = "a.example"
 	for name, value := range map[string]string{
 		"X-Request-Id": id, "X-Deadline-Ms": "2500", "X-Model": "m", "X-Token-Usage": "1000,20",
-		"X-Prompt-Prefix": "aa:800,bb:200", "X-Tenant": "forged", "X-Hold": "forged",
+		"X-Prompt-Prefix": parts, "X-Tenant": "forged", "X-Hold": "forged",
 	} {
 		req.Header.Set(name, value)
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -17,6 +17,7 @@
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
@@ -62,6 +63,8 @@
 	PlacementUpdates *kvmap.Outbox
 	Budget           *budget.Tracker
 	Poison           *poison.Table
+	// Taint holds the parts of prompts that crash engines.
+	Taint *taint.Table
 	// SampleSize returns the number of engines that a placement considers.
 	SampleSize func() int
 	Placer     Placer
@@ -87,6 +90,7 @@
 	cfg        Config
 	prefill    *prefillRates
 	weights    *reportedWeights
+	crashes    *crashes
 	roundRobin atomic.Uint64
 	buffered   atomic.Int64
 	inFlight   atomic.Int64
@@ -96,6 +100,7 @@
 	firstByte *metrics.Histogram
 	// oldWeights counts the requests rejected because all engines have old weights.
 	oldWeights *metrics.Counter
+	tainted    *metrics.Counter
 }
 
 // New returns a Relay and registers its metrics.
@@ -107,7 +112,9 @@
 		latency:    cfg.Metrics.NewHistogram("cicada_relay_seconds"),
 		firstByte:  cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
 		oldWeights: cfg.Metrics.NewCounter("cicada_relay_old_weights_total"),
+		tainted:    cfg.Metrics.NewCounter("cicada_relay_tainted_total"),
 	}
+	r.crashes = newCrashes(r)
 	return r
 }
 
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -23,6 +23,7 @@
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/proto/loadpb"
 	"cicadastand.dev/core/state/clock"
@@ -76,6 +77,7 @@
 	Mirror           *mirror.Mirror
 	Loads            *load.Table
 	Poison           *poison.Table
+	Taint            *taint.Table
 	CacheIndex       *kvmap.Index
 	PlacementUpdates *kvmap.Outbox
 	Pauses           *pause.Table
@@ -98,6 +100,8 @@
 	versionNewsTime = 10 * time.Second
 	// maxSuspects bounds the number of suspect requests in one message.
 	maxSuspects = 32
+	// maxTaints bounds the pairs of a part and a crash in one message.
+	maxTaints = 256
 )
 
 // Service sends the state of this host to its peers and receives theirs.
@@ -304,6 +308,7 @@
 	s.receivePauses(in.GetPauses())
 	s.receiveVersions(in.GetVersions())
 	s.mergeSuspects(in.GetSuspects())
+	s.mergeCrashes(in.GetCrashes())
 	for _, p := range in.GetPlacements() {
 		s.cfg.CacheIndex.Add(placementFrom(p, now))
 	}
@@ -349,6 +354,7 @@
 		s.cfg.Loads.UpdatePeer(name, scope, workFrom(in.GetWork()), now)
 	}
 	s.mergeSuspects(in.GetSuspects())
+	s.mergeCrashes(in.GetCrashes())
 	s.receivePauses(in.GetPauses())
 	s.receiveVersions(in.GetVersions())
 	if end := in.GetLeaseEnd(); end > 0 {
@@ -390,6 +396,7 @@
 		Pauses:     s.pauses(),
 		Versions:   s.versions(),
 		Suspects:   s.suspects(),
+		Crashes:    s.crashes(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(in.GetHost(), now), placementMessage),
 	}
 	s.addReads(out, in, func(feed.ReadMark) bool { return true })
@@ -446,6 +453,7 @@
 		Pauses:     s.pauses(),
 		Versions:   s.versions(),
 		Suspects:   s.suspects(),
+		Crashes:    s.crashes(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(hubSubscriber+to, s.cfg.Clock.Boot()), placementMessage),
 	}
 	if _, fingerprint, _, ok := s.cfg.Store.Endpoints(); ok {
