Repeat the evidence on rejected parts each second

A host that was killed and restarted gets the evidence of the others within a second instead of three. That the restarted host sent them is likely, but not traced. For 70 ms in each second, about one message carries the pairs, where three or four did in each 3 s.

--- a/core/coord/taint/taint.go
+++ b/core/coord/taint/taint.go
@@ -30,8 +30,8 @@
 	changeTime = time.Second
 	// repeatInterval and repeatTime say how often, and how long, the pairs of rejected
 	// parts are sent without a change, for hosts that were restarted or cut off.
-	repeatInterval = 3 * time.Second
-	repeatTime     = 200 * time.Millisecond
+	repeatInterval = time.Second
+	repeatTime     = 70 * time.Millisecond
 	// maxPairs bounds the pairs; those of the oldest crashes are dropped.
 	maxPairs = 4096
 	// maxSound bounds the parts whose last first event is remembered, in each of two
