Keep the ages of skipped versions, and never send an assumed one

A host that wakes may read version 3 before others tell it of version 2; its age was dropped, and version 1 was permitted for as long as if version 3 had been the first to replace it.

Versions are now kept in order, also ones that are learnt of late; an assumed age stays on its host and yields to a known one; the newest version is sent for a minute, since a host may be suspended for longer than the ten seconds of the others.

--- a/core/state/mirror/mirror.go
+++ b/core/state/mirror/mirror.go
@@ -37,6 +37,8 @@
 type WeightsVersion struct {
 	Version  int
 	LearntAt time.Duration
+	// Assumed is set while no host has told when it learnt of the version.
+	Assumed bool
 }
 
 // NewestWeights returns the newest weights version of a model, or 0 if none is known.
@@ -119,27 +121,37 @@
 }
 
 // SetWeights adds a weights version of a model, which a host has learnt of at a time, and
-// reports whether it did. A version that is older than the newest known one is not added. Of
-// the times given for one version the earliest is kept.
+// reports whether it is the newest one and was not known. Of the times given for one version
+// the earliest is kept. A host may learn of a version after it has learnt of its successor.
 func (m *Mirror) SetWeights(model string, version int, learntAt time.Duration) bool {
+	return m.addWeights(model, WeightsVersion{Version: version, LearntAt: learntAt})
+}
+
+// AssumeWeights is like SetWeights for a version whose age is not known. The time is used
+// until SetWeights gives one.
+func (m *Mirror) AssumeWeights(model string, version int, learntAt time.Duration) bool {
+	return m.addWeights(model, WeightsVersion{Version: version, LearntAt: learntAt, Assumed: true})
+}
+
+func (m *Mirror) addWeights(model string, w WeightsVersion) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := *m.view.Load()
-	versions := v.Weights[model]
-	known := slices.IndexFunc(versions, func(w WeightsVersion) bool { return w.Version == version })
+	versions := slices.Clone(v.Weights[model])
+	at, known := slices.BinarySearchFunc(versions, w, func(a, b WeightsVersion) int { return cmp.Compare(a.Version, b.Version) })
 	switch {
-	case known >= 0 && versions[known].LearntAt > learntAt:
-		versions = slices.Clone(versions)
-		versions[known].LearntAt = learntAt
-	case version > v.NewestWeights(model):
-		versions = append(slices.Clone(versions), WeightsVersion{Version: version, LearntAt: learntAt})
+	case !known:
+		versions = slices.Insert(versions, at, w)
+	case !w.Assumed && (versions[at].Assumed || versions[at].LearntAt > w.LearntAt):
+		versions[at] = w
 	default:
 		return false
 	}
+	isNewest := at == len(versions)-1
 	v.Weights = maps.Clone(v.Weights)
 	v.Weights[model] = versions[max(0, len(versions)-maxVersions):]
 	m.view.Store(&v)
-	return known < 0
+	return isNewest && !known
 }
 
 // SetEndpoints replaces the endpoint list.
--- a/core/state/mirror/mirror_test.go
+++ b/core/state/mirror/mirror_test.go
@@ -101,3 +101,28 @@
 	at, _ = before.ReplacedAt("m", 1)
 	is.Equal(at, time.Duration(900)) // a view does not change
 }
+
+// A host that wakes may read the newest version first, and learn of the ones before from others.
+func TestAgeOfASkippedVersionIsKept(t *testing.T) {
+	is := is.New(t)
+	m := mirror.New()
+	m.SetWeights("m", 1, 0)
+	m.SetWeights("m", 3, 4000)
+	is.True(!m.SetWeights("m", 2, 100))
+	is.Equal(m.View().NewestWeights("m"), 3)
+	at, _ := m.View().ReplacedAt("m", 1)
+	is.Equal(at, time.Duration(100))
+}
+
+func TestAssumedAgeYieldsToAKnownOne(t *testing.T) {
+	is := is.New(t)
+	m := mirror.New()
+	is.True(m.AssumeWeights("m", 2, 100))
+	is.True(!m.SetWeights("m", 2, 900)) // later, but known
+	at, _ := m.View().ReplacedAt("m", 1)
+	is.Equal(at, time.Duration(900))
+	m.AssumeWeights("m", 2, 50)
+	at, _ = m.View().ReplacedAt("m", 1)
+	is.Equal(at, time.Duration(900))
+	is.True(!m.View().Weights["m"][0].Assumed)
+}
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -111,8 +111,13 @@
 	now := s.cfg.Clock.Boot()
 	var out []*loadpb.WeightsVersion
 	for model, versions := range s.cfg.Mirror.View().Weights {
-		for _, v := range versions {
-			if age := now - v.LearntAt; age < versionNewsTime {
+		for i, v := range versions {
+			newsTime := olderNewsTime
+			if i == len(versions)-1 {
+				newsTime = newestNewsTime
+			}
+			age := now - v.LearntAt
+			if !v.Assumed && age < newsTime {
 				out = append(out, &loadpb.WeightsVersion{Model: model, Version: uint32(v.Version), AgeMs: uint32(max(0, age.Milliseconds()))})
 			}
 		}
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -95,9 +95,10 @@
 	// hubRoleTimeout is how long a host acts as the hub after a host of its domain
 	// has sent it a status.
 	hubRoleTimeout = 1500 * time.Millisecond
-	// versionNewsTime is how long a published version of weights is sent to other hosts, so
-	// that those which learn of it late know its age.
-	versionNewsTime = 10 * time.Second
+	// newestNewsTime and olderNewsTime are how long the newest version of weights and those
+	// before are sent to other hosts, so that those which learn of them late know their age.
+	newestNewsTime = time.Minute
+	olderNewsTime  = 10 * time.Second
 	// maxSuspects bounds the number of suspect requests in one message.
 	maxSuspects = 32
 	// maxTaints bounds the pairs of a part and a crash in one message.
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -90,7 +90,7 @@
 	// because the store was unavailable, so that endpoints could not renew them.
 	outageAfter = 2500 * time.Millisecond
 	// startVersionAge is the assumed age of the weights versions that a host finds at its
-	// start. They may be older; other hosts that know more send their age.
+	// start, until another host sends their age.
 	startVersionAge = 2 * time.Second
 	// renewTime is the time within which live endpoints renew their entries once the
 	// store is available again. The platform guarantees it.
@@ -247,12 +247,18 @@
 	if p.Config != nil && w.cfg.Mirror.SetConfig(p.Config) {
 		w.cfg.Logger.Info("configuration updated", "version", p.Config.Version, "next", p.Next)
 	}
-	learntAt := w.cfg.Clock.Boot()
-	if !w.publishedMark().known {
-		learntAt -= startVersionAge
-	}
+	w.mu.Lock()
+	starting := !w.published.known
+	w.mu.Unlock()
+	now := w.cfg.Clock.Boot()
 	for model, version := range p.Weights {
-		if w.cfg.Mirror.SetWeights(model, version, learntAt) {
+		isNew := false
+		if starting {
+			isNew = w.cfg.Mirror.AssumeWeights(model, version, now-startVersionAge)
+		} else {
+			isNew = w.cfg.Mirror.SetWeights(model, version, now)
+		}
+		if isNew {
 			w.cfg.Logger.Info("new weights version published", "model", model, "version", version, "next", p.Next)
 		}
 	}
