Allow for the queue and for late news before a request starts on old weights

One second was reserved for the time in an engine's queue and for the time until the first host learns of a version.

Half a second is reserved for the news by itself, and after the placement a request is rejected whose expected first token lies past the bound.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -38,6 +38,9 @@
 			return false, newRejection(http.StatusServiceUnavailable, wait, "first token is expected in %d ms, and %.1f requests wait for each engine", c.firstToken.Milliseconds(), c.waiting)
 		}
 	}
+	if j.isModel() && !r.mayStart(r.cfg.Mirror.View(), j.params.Model, c.weights, c.firstToken) {
+		return false, r.rejectOldWeights("first token is expected in %d ms, too late for the weights of endpoint %s", c.firstToken.Milliseconds(), c.endpoint.ID)
+	}
 	// The host may have been suspended since the request was received.
 	if j.account != nil && !r.isConfigFresh() {
 		return false, newRejection(http.StatusServiceUnavailable, r.retryAfterStale(), "configuration is too old to accept keys")
--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -61,8 +61,7 @@
 	usable := untried
 	if j.isModel() {
 		if usable = r.permitted(untried, view, j.params.Model); len(usable) == 0 {
-			r.oldWeights.Inc()
-			return choice{}, newRejection(http.StatusServiceUnavailable, retryAfterOldWeights, "none of %d engines of %s has loaded weights that may still be used", len(untried), j.serviceName)
+			return choice{}, r.rejectOldWeights("none of %d engines of %s has loaded weights that may still be used", len(untried), j.serviceName)
 		}
 	}
 	now := r.cfg.Clock.Boot()
--- a/router/relay/reject.go
+++ b/router/relay/reject.go
@@ -27,6 +27,13 @@
 	return &rejection{status: status, reason: fmt.Sprintf(format, args...), retryAfter: retryAfter}
 }
 
+// rejectOldWeights returns the rejection of a request that would start on weights past the
+// bound.
+func (r *Relay) rejectOldWeights(format string, args ...any) *rejection {
+	r.oldWeights.Inc()
+	return newRejection(http.StatusServiceUnavailable, retryAfterOldWeights, format, args...)
+}
+
 // reject writes an error response for a request that was not forwarded or failed.
 func (j *job) reject(e *rejection) {
 	j.outcome = strconv.Itoa(e.status)
--- a/router/relay/weights.go
+++ b/router/relay/weights.go
@@ -77,17 +77,25 @@
 	}
 }
 
-// queueMargin is the time that a request may spend in an engine's queue before it
-// starts to run.
-const queueMargin = time.Second
+const (
+	// queueMargin is the time that a request may spend in an engine's queue before it
+	// starts to run.
+	queueMargin = time.Second
+	// learnMargin is the time from the publication of a version until the first host
+	// learns of it.
+	learnMargin = 500 * time.Millisecond
+)
+
+// mayStart reports whether a request may start after a wait on a version of the weights. A
+// version of 0 is not known, and permitted.
+func (r *Relay) mayStart(view *mirror.View, model string, version int, wait time.Duration) bool {
+	at, replaced := view.ReplacedAt(model, version)
+	return version == 0 || !replaced || r.cfg.Clock.Boot()-at+wait < r.cfg.OldWeightsGrace-learnMargin
+}
 
-// permitted returns the endpoints on whose weights requests may still start. An endpoint
-// whose version is not known is permitted.
+// permitted returns the endpoints on whose weights requests may still start.
 func (r *Relay) permitted(list []*site.Endpoint, view *mirror.View, model string) []*site.Endpoint {
-	now := r.cfg.Clock.Boot()
 	return lo.Filter(list, func(e *site.Endpoint, _ int) bool {
-		version := r.weightsOf(e, model).version
-		at, replaced := view.ReplacedAt(model, version)
-		return version == 0 || !replaced || now-at < r.cfg.OldWeightsGrace-queueMargin
+		return r.mayStart(view, model, r.weightsOf(e, model).version, queueMargin)
 	})
 }
