Start a tenure of the lease also after a takeover without an answer

Found by review. A takeover whose append got no answer, and which a read confirmed later, went on with the tenure and the plan of before, though another host had sent orders in between: an order that had waited since could go out with an old target. Whether an append renews is now recorded before it is sent.

TestTakeoverWithoutAnAnswerStartsATenure (1, want 2) and TestFailedReadsOfTheLeaseAreNotRepeatedAtOnce failed without the changes. They use a fake clock now, with the bound stated by the lease.

--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -86,6 +86,8 @@
 	// its end reads the log. The holder announces each renewal to its peers, so a silent one
 	// is lost or out of reach, and its last renewal may be unknown.
 	leaseSilence = 500 * time.Millisecond
+	// leaseRetryPause is the time between a failed read of the lease and the next one.
+	leaseRetryPause = 400 * time.Millisecond
 	// maxTasks bounds the number of concurrent calls to engines.
 	maxTasks = 64
 )
@@ -97,8 +99,12 @@
 	plan  *plan.Plan
 	// outdatedSince is when engines became outdated; 0 if none is outdated.
 	outdatedSince time.Duration
-	// leaseNews is when this host last learnt of a grant.
-	leaseNews time.Duration
+	// lastLeaseNews is when this host last learnt of the lease, or tried to, and
+	// lastLeaseFailure when a read of the lease last failed; 0 if the last one did not.
+	lastLeaseNews    time.Duration
+	lastLeaseFailure time.Duration
+	// renewing is set if the last append was to renew the lease of this host.
+	renewing bool
 	// held is this host's current or last tenure, nil before the first; heard is the newest
 	// grant that another host has announced.
 	held  atomic.Pointer[tenure]
@@ -110,7 +116,7 @@
 	finished chan *task
 }
 
-// tenure is the time in which this host holds the lease without interruption.
+// tenure is the time in which this host holds the lease, and no other host in between.
 type tenure struct {
 	// number tells tenures apart; renewals don't change it.
 	number int
@@ -202,24 +208,26 @@
 // observeHeard applies the newest announced grant.
 func (r *Runner) observeHeard() {
 	h := r.heard.Load()
-	if h == nil || h.at <= r.leaseNews || !r.lease.Known() || h.End < r.lease.NextOffset() {
+	if h == nil || h.at < r.lastLeaseNews || !r.lease.Known() || h.End < r.lease.NextOffset() {
 		return
 	}
-	r.leaseNews = h.at
+	r.lastLeaseNews = h.at
 	if h.End > r.lease.NextOffset() {
 		r.lease.Observe(h.Grant, h.at)
 		r.cfg.Logger.Info("lease heard", "holder", h.Holder, "end", h.End)
 	}
 }
 
-// hold starts a tenure or extends the current one. The previous grant stays valid for its
-// own time while the outcome of a renewal is unknown.
-func (r *Runner) hold(renewed bool) {
+// startTenure starts to use a grant, or extends the current tenure if it was a renewal. The
+// previous grant stays valid for its own time while the outcome of a renewal is unknown.
+func (r *Runner) startTenure() {
 	t := tenure{fence: r.lease.FencingToken(), until: r.lease.Until()}
 	if last := r.held.Load(); last != nil {
 		t.number = last.number
 	}
-	if !renewed {
+	if !r.renewing {
+		// Another host may have sent orders since the last tenure.
+		r.plan.Reset()
 		t.number++
 	}
 	r.held.Store(&t)
@@ -245,23 +253,20 @@
 		r.readLease(ctx)
 		return false
 	}
-	if r.lease.Wait(now) > 0 && now-r.leaseNews >= leaseSilence {
+	if r.lease.Wait(now) > 0 && now-r.lastLeaseNews >= leaseSilence {
 		r.readLease(ctx)
 	}
 	if r.lease.Wait(now) > 0 || !r.lease.IsLastHolder() && r.lease.NextOffset() > 0 && now-r.outdatedSince < yieldTime {
 		return false
 	}
+	r.renewing = r.lease.IsLastHolder()
 	nonce := uuid.NewString()
 	r.lease.BeginAppend(nonce, now)
 	err := r.cfg.LeaseLog.Take(ctx, r.lease.NextOffset(), r.cfg.Host, nonce)
 	switch {
 	case err == nil:
-		renewed := r.lease.IsLastHolder()
-		if !renewed {
-			r.plan.Reset()
-		}
 		r.lease.AppendSucceeded()
-		r.hold(renewed)
+		r.startTenure()
 		r.cfg.Logger.Info("lease acquired", "fence", r.lease.FencingToken())
 		return true
 	case feed.IsErrLeaseTaken(err):
@@ -274,20 +279,25 @@
 }
 
 func (r *Runner) readLease(ctx context.Context) {
+	if now := r.cfg.Clock.Boot(); r.lastLeaseFailure > 0 && now-r.lastLeaseFailure < leaseRetryPause {
+		return
+	}
 	g, err := r.cfg.LeaseLog.Grant(ctx, max(0, r.lease.NextOffset()-1))
 	if feed.IsErrTrimmed(err) {
 		g, err = r.cfg.LeaseLog.Grant(ctx, r.lease.NextOffset())
 	}
+	now := r.cfg.Clock.Boot()
+	r.lastLeaseNews = now
 	if err != nil {
+		r.lastLeaseFailure = now
 		r.cfg.Logger.Warn("failed to read lease", "error", err)
 		return
 	}
-	now := r.cfg.Clock.Boot()
+	r.lastLeaseFailure = 0
 	r.lease.Observe(g, now)
-	r.leaseNews = now
 	if r.lease.Holds(now) {
 		// An append of this host whose outcome was unknown has succeeded.
-		r.hold(true)
+		r.startTenure()
 	}
 	r.cfg.Logger.Info("lease read", "holder", g.Holder, "end", g.End)
 }
--- a/router/weight/weight_test.go
+++ b/router/weight/weight_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -144,9 +145,14 @@
 
 // lostHolder is the lease log of a system whose holder was lost after it renewed the lease.
 type lostHolder struct {
-	mu    sync.Mutex
-	end   int64
-	taken chan struct{}
+	mu  sync.Mutex
+	end int64
+}
+
+func (l *lostHolder) setEnd(end int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end = end
 }
 
 func (l *lostHolder) Grant(context.Context, int64) (feed.Grant, error) {
@@ -162,69 +168,107 @@
 		return feed.ErrLeaseTaken
 	}
 	l.end++
-	if l.taken != nil {
-		close(l.taken)
-		l.taken = nil
-	}
 	return nil
 }
 
-// newWaiting returns a runner that is a candidate for the lease of another host.
-func newWaiting(t *testing.T, l *lostHolder, local *mirror.Mirror, duration time.Duration) *Runner {
+// newWaiting returns a runner that is a candidate for the lease of another host, and its clock.
+func newWaiting(t *testing.T, l LeaseLog, duration time.Duration) (*Runner, *clock.Fake) {
 	t.Helper()
-	c := clock.New()
+	local := newMirror(t, 5)
+	local.SetWeights("m", 2, 0)
+	c := clock.NewFake(time.Unix(1000, 0))
+	c.Advance(time.Minute) // the host has run for a while
 	e := &engines{clock: c, pauses: pause.New(), paused: make(map[string]time.Duration)}
 	return New(Config{
 		Clock: c, Host: "h", Lease: duration, Mirror: local, MayLead: func() bool { return true }, LeaseLog: l,
 		Engines: e, Loads: func() map[string]int { return nil }, Pauses: e.pauses, Announce: func(context.Context) {},
 		PropagationTime: func() time.Duration { return 80 * time.Millisecond }, Logger: hclog.NewNullLogger(),
-	})
+	}), c
+}
+
+// takenAfter returns how long it takes until a runner holds the lease.
+func takenAfter(ctx context.Context, r *Runner, c *clock.Fake) time.Duration {
+	took := time.Duration(0)
+	for r.HeldGrant() == 0 && took < time.Minute {
+		c.Advance(stepInterval)
+		took += stepInterval
+		r.Step(ctx)
+	}
+	return took
 }
 
 func TestHolderLostAfterARenewalIsReplacedWithinOneLease(t *testing.T) {
 	is := is.New(t)
-	local := newMirror(t, 5)
-	local.SetWeights("m", 2, 0)
-	l := &lostHolder{end: 1, taken: make(chan struct{})}
-	taken := l.taken
-	r := newWaiting(t, l, local, 2*time.Second)
-	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	const duration = 3 * time.Second
+	l := &lostHolder{end: 1}
+	r, c := newWaiting(t, l, duration)
 	r.Step(ctx) // reads the grant
-	l.mu.Lock()
-	l.end = 2 // the last renewal of the lost holder
-	l.mu.Unlock()
-	started := time.Now()
-	go r.Run(ctx)
-	select {
-	case <-taken:
-	case <-ctx.Done():
-	}
-	is.True(time.Since(started) < 3*time.Second) // one lease, and the time to notice the silence
-	is.True(time.Since(started) > 2*time.Second) // never before the lease has ended
+	l.setEnd(2) // the last renewal of the lost holder
+	took := takenAfter(ctx, r, c)
+	is.True(took >= duration)                             // never before the lease has ended
+	is.True(took <= duration+leaseSilence+2*stepInterval) // one lease, and the time to notice the silence
 }
 
 func TestLeaseThatHasEndedIsTakenAtOnce(t *testing.T) {
 	is := is.New(t)
-	local := newMirror(t, 5)
-	local.SetWeights("m", 2, 0)
-	l := &lostHolder{end: 1, taken: make(chan struct{})}
-	taken := l.taken
-	const duration = 2 * time.Second
-	r := newWaiting(t, l, local, duration)
-	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	const duration = 3 * time.Second
+	l := &lostHolder{end: 1}
+	r, c := newWaiting(t, l, duration)
 	r.Step(ctx) // reads the grant
-	l.mu.Lock()
-	l.end = 2
-	l.mu.Unlock()
+	l.setEnd(2)
 	r.HearGrant("lost", 2)
-	time.Sleep(duration)
-	started := time.Now()
-	go r.Run(ctx)
-	select {
-	case <-taken:
-	case <-ctx.Done():
+	r.HearGrant("lost", 1) // arrives late
+	c.Advance(duration)
+	is.True(takenAfter(ctx, r, c) <= 2*stepInterval)
+}
+
+// lostAnswers is a lease log whose answers to appends are lost, and whose reads can fail.
+type lostAnswers struct {
+	lostHolder
+	nonce string
+	reads int
+	fails bool
+}
+
+func (l *lostAnswers) Grant(context.Context, int64) (feed.Grant, error) {
+	if l.reads++; l.fails {
+		return feed.Grant{}, errors.New("request rejected")
+	}
+	return feed.Grant{End: l.end, Holder: "h", Nonce: l.nonce}, nil
+}
+
+func (l *lostAnswers) Take(_ context.Context, at int64, _, nonce string) error {
+	if at != l.end {
+		return feed.ErrLeaseTaken
+	}
+	l.end++
+	l.nonce = nonce
+	return errors.New("no answer")
+}
+
+// The append that takes the lease over may get no answer, and a read tells that it succeeded.
+func TestTakeoverWithoutAnAnswerStartsATenure(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r, c := newWaiting(t, &lostAnswers{}, 3*time.Second)
+	r.held.Store(&tenure{number: 1})
+	takenAfter(ctx, r, c)
+	is.Equal(r.held.Load().number, 2)
+}
+
+// Each read of the store counts towards a limit that all hosts share.
+func TestFailedReadsOfTheLeaseAreNotRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := &lostAnswers{fails: true}
+	r, c := newWaiting(t, l, 3*time.Second)
+	for range 60 { // 3 s
+		r.Step(context.Background())
+		c.Advance(stepInterval)
 	}
-	is.True(time.Since(started) < time.Second)
+	is.True(l.reads <= 10)
 }
