--- a/router/hosted/hosted_test.go
+++ b/router/hosted/hosted_test.go
@@ -172,6 +172,17 @@
 	}
 }
 
+func TestRequestThatMayHaveRunIsNotAnswered503(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	shop := c.startEndpoint("i-1", "shop", "zone-0", server.Config{})
+	shop.SetBehavior(func(*http.Request) server.Behavior { return server.BreakConnection })
+	c.startServing()
+	got := c.send(c.hosts[0], "GET", "/lookup/", "r1", "key", "") // no other endpoint is left for a retry
+	is.Equal(len(shop.Runs()), 1)
+	is.Equal(got.status, http.StatusBadGateway)
+}
+
 func TestBrokenStreamIsResumedAtAnotherEngine(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 1)
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -247,9 +247,7 @@
 	if p.Config != nil && w.cfg.Mirror.SetConfig(p.Config) {
 		w.cfg.Logger.Info("configuration updated", "version", p.Config.Version, "next", p.Next)
 	}
-	w.mu.Lock()
-	starting := !w.published.known
-	w.mu.Unlock()
+	starting := !w.publishedMark().known
 	now := w.cfg.Clock.Boot()
 	for model, version := range p.Weights {
 		isNew := false
