Apply an announced grant also after a failed read of the lease

A read that fails counts as news of the lease, so that reads don't follow each other too fast; a grant that was heard before was then passed over. Also one comment.

--- a/core/state/mirror/mirror.go
+++ b/core/state/mirror/mirror.go
@@ -61,8 +61,7 @@
 }
 
 // maxVersions bounds the weights versions stored per model. A version older than
-// all stored ones counts as replaced at the time at which this host learnt of the
-// oldest stored one.
+// all stored ones counts as replaced at the time of the oldest stored one.
 const maxVersions = 32
 
 // Mirror holds the current view and updates it. It is safe for concurrent use.
--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -208,10 +208,10 @@
 // observeHeard applies the newest announced grant.
 func (r *Runner) observeHeard() {
 	h := r.heard.Load()
-	if h == nil || h.at < r.lastLeaseNews || !r.lease.Known() || h.End < r.lease.NextOffset() {
+	if h == nil || !r.lease.Known() || h.End < r.lease.NextOffset() {
 		return
 	}
-	r.lastLeaseNews = h.at
+	r.lastLeaseNews = max(r.lastLeaseNews, h.at)
 	if h.End > r.lease.NextOffset() {
 		r.lease.Observe(h.Grant, h.at)
 		r.cfg.Logger.Info("lease heard", "holder", h.Holder, "end", h.End)
