--- a/router/share/share.go
+++ b/router/share/share.go
@@ -254,50 +254,6 @@
 	}
 }
 
-// send starts sending a message, unless the previous one to that host is in flight.
-func (s *Service) send(ctx context.Context, to feed.Host, status *loadpb.Status) {
-	client, done, err := s.peers.beginSend(to)
-	if err != nil {
-		s.cfg.Logger.Warn("can't connect to peer", "peer", to.Name, "error", err)
-		return
-	}
-	if client == nil {
-		return
-	}
-	m := &statusMessage{s: s, to: to, client: client, done: done, status: status}
-	go m.run(ctx)
-}
-
-// statusMessage is a status that is being sent to one peer.
-type statusMessage struct {
-	s      *Service
-	to     feed.Host
-	client loadpb.LoadClient
-	done   func()
-	status *loadpb.Status
-}
-
-func (m *statusMessage) run(ctx context.Context) {
-	defer m.done()
-	s := m.s
-	sent := s.cfg.Clock.Boot()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply, err := m.client.Tell(ctx, m.status)
-	if err != nil {
-		s.failures.Inc()
-		s.cfg.Hubs.MarkFailed(m.to.Name, s.cfg.Clock.Boot())
-		s.cfg.Logger.Info("status message to peer failed", "hub", m.to.Name, "error", err)
-		return
-	}
-	s.cfg.Hubs.MarkReachable(m.to.Name)
-	s.recordPeerContact()
-	if !m.status.GetForDomain() && !m.status.GetDirect() {
-		s.handleReply(m.to.Name, reply)
-	}
-	s.receiveReads(reply, sent)
-}
-
 // handleReply applies what the hub's reply to a status message says of the other hosts.
 func (s *Service) handleReply(hub string, in *loadpb.Heard) {
 	now := s.cfg.Clock.Boot()
