Log the request limits that endpoints name

The platform's header is decoded in one place, and each change of a limit is logged with the request whose response named it. Invalid values change nothing and are logged.

--- a/core/proto/call/call.go
+++ b/core/proto/call/call.go
@@ -81,4 +81,16 @@
 	NotRun bool
 	// Weights is the version of the weights that produced the response; 0 if not given.
 	Weights int
+	// Notice is what the response says of the endpoint itself.
+	Notice Notice
+}
+
+// Notice is what a response says of its endpoint rather than of the request.
+type Notice struct {
+	// RequestLimit is the number of requests per second that the endpoint takes from all
+	// hosts together, for as long as its responses name it.
+	RequestLimit    float64
+	HasRequestLimit bool
+	// Faults holds an error for each invalid value. The other fields don't include it.
+	Faults []error
 }
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -16,6 +16,7 @@
 	"cicadastand.dev/core/coord/eject"
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/pace"
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
@@ -140,6 +141,7 @@
 	cacheIndex *kvmap.Index
 	ejection   *eject.Table
 	pauses     *pause.Table
+	pace       *pace.Table
 	taint      *taint.Table
 	conns      *conns.Pool
 	relay      *relay.Relay
@@ -167,6 +169,7 @@
 		cacheIndex: kvmap.New(),
 		ejection:   eject.New(ejectConfig),
 		pauses:     pause.New(),
+		pace:       pace.New(),
 		metrics:    metrics.NewSet(),
 	}
 	suspects := poison.New(poison.Config{Retention: suspectRetention})
@@ -195,6 +198,7 @@
 		PlacementUpdates: placementUpdates,
 		Ejection:         h.ejection,
 		Pauses:           h.pauses,
+		Pace:             h.pace,
 		Budget:           retryBudget,
 		Poison:           suspects,
 		Taint:            h.taint,
@@ -338,6 +342,7 @@
 			h.conns.Sweep(func(t conns.Target) bool { return known(t.Incarnation) })
 			h.cacheIndex.Retain(func(id string) bool { return known(id) || isCacheStore(view.Config, id) })
 			h.ejection.Retain(known)
+			h.pace.Retain(known)
 			h.relay.Prune(known)
 			h.relay.PruneCrashes(known)
 			h.taint.Sweep(h.cfg.Clock.Boot())
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -56,13 +56,15 @@
 	j.recordPlacement(c, c.weights)
 	tracked := r.cfg.Loads.Track(c.endpoint.ID, j.rank(), c.prefillTokens)
 	defer tracked.Done()
-	sent := r.cfg.Clock.Now()
+	sent, asked := r.cfg.Clock.Now(), r.cfg.Clock.Boot()
 	resp, err := r.cfg.Conns.Send(ctx, conns.Target{Incarnation: c.endpoint.ID, Address: c.endpoint.Address}, j.request(c, timeout), j.isResponseTo)
 	if err != nil {
 		return j.sendFailed(ctx, c, err)
 	}
 	defer resp.Close()
-	return j.receive(ctx, c, resp, tracked, sent)
+	decoded := r.cfg.Codec.DecodeResponse(resp.Header)
+	j.recordNotice(c.endpoint.ID, resp, decoded, asked)
+	return j.receive(ctx, c, resp, decoded, tracked, sent)
 }
 
 // shedRequest returns the input of the load shedding decision.
@@ -147,9 +149,8 @@
 }
 
 // receive handles an endpoint's response.
-func (j *job) receive(ctx context.Context, c choice, resp *conns.Response, tracked *load.Request, sent time.Time) (retry bool, fault *rejection) {
+func (j *job) receive(ctx context.Context, c choice, resp *conns.Response, decoded call.Response, tracked *load.Request, sent time.Time) (retry bool, fault *rejection) {
 	r := j.r
-	decoded := r.cfg.Codec.DecodeResponse(resp.Header)
 	if decoded.NotRun || resp.Status == http.StatusMisdirectedRequest {
 		j.discardBody(resp)
 		if resp.Status == http.StatusMisdirectedRequest && c.valid {
--- /dev/null
+++ b/router/relay/notice.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/router/conns"
+)
+
+// recordNotice records what a response to a request sent at asked says of its endpoint.
+// Responses that may come from another process at that address say nothing.
+func (j *job) recordNotice(endpoint string, resp *conns.Response, decoded call.Response, asked time.Duration) {
+	if resp.Status == http.StatusMisdirectedRequest || !decoded.Sealed && !decoded.NotRun {
+		return
+	}
+	r := j.r
+	for _, fault := range decoded.Notice.Faults {
+		r.cfg.Logger.Warn("ignored invalid header of endpoint's response", "id", j.params.ID, "endpoint", endpoint, "error", fault)
+	}
+	j.recordRequestLimit(endpoint, decoded, asked)
+}
+
+func (j *job) recordRequestLimit(endpoint string, decoded call.Response, asked time.Duration) {
+	r := j.r
+	now := r.cfg.Clock.Boot()
+	n := decoded.Notice
+	switch {
+	case n.HasRequestLimit:
+		if c, ok := r.cfg.Pace.Name(endpoint, n.RequestLimit, asked, now); ok {
+			r.cfg.Logger.Info("endpoint named a request limit", "id", j.params.ID, "endpoint", endpoint, "per-second", c.Rate, "limited-ms", (now - c.Since).Milliseconds())
+		}
+	case decoded.Sealed && len(n.Faults) == 0:
+		if c, ok := r.cfg.Pace.Lift(endpoint, asked); ok {
+			r.cfg.Logger.Info("endpoint named no request limit, limit ended", "id", j.params.ID, "endpoint", endpoint, "limited-ms", (now - c.Since).Milliseconds())
+		}
+	}
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -14,6 +14,7 @@
 	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/coord/eject"
 	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/pace"
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
@@ -59,6 +60,8 @@
 	CacheIndex *kvmap.Index
 	Ejection   *eject.Table
 	Pauses     *pause.Table
+	// Pace holds the request limits that endpoints name.
+	Pace *pace.Table
 	// PlacementUpdates sends the other hosts the placements that they would not expect.
 	PlacementUpdates *kvmap.Outbox
 	Budget           *budget.Tracker
