--- a/stand/server/server.go
+++ b/stand/server/server.go
@@ -22,6 +22,7 @@
 	Body    string
 	Header  http.Header
 	Version int
+	At      time.Time
 }
 
 // Config describes an endpoint.
@@ -53,6 +54,8 @@
 	runs    []Run
 	// written is the number of bytes of long and endless bodies that were sent.
 	written int
+	// notices are headers of all responses to requests.
+	notices http.Header
 	// behaviorOf chooses the behavior for a request; nil responds to each.
 	behaviorOf func(r *http.Request) Behavior
 }
@@ -104,6 +107,18 @@
 	e.behaviorOf = behaviorOf
 }
 
+// SetNotice sets a header of all later responses to requests; no values remove it.
+func (e *Endpoint) SetNotice(name string, values ...string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next := e.notices.Clone()
+	if next == nil {
+		next = make(http.Header)
+	}
+	next[name] = values
+	e.notices = next
+}
+
 // Runs returns the requests that the endpoint has started to execute.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
@@ -222,10 +237,14 @@
 		behavior = e.behaviorOf(r)
 	}
 	if behavior != Reject {
-		e.runs = append(e.runs, Run{ID: r.Header.Get("X-Request-Id"), Path: r.RequestURI, Body: string(body), Header: r.Header.Clone(), Version: e.version})
+		e.runs = append(e.runs, Run{ID: r.Header.Get("X-Request-Id"), Path: r.RequestURI, Body: string(body), Header: r.Header.Clone(), Version: e.version, At: time.Now()})
 	}
+	notices := e.notices
 	e.mu.Unlock()
 	h := w.Header()
+	for name, values := range notices {
+		h[name] = values
+	}
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	if behavior == Reject {
 		h.Set("X-Not-Executed", "1")
