Keep the request limits that endpoints name, over all hosts

Class of fault: an endpoint's word about itself that reaches the host and is ignored.

Each host issues itself permits at its share of the limit, which is its share of the demand for the service; the demand travels in status messages. Permits lapse after a second. A request that finds all limits reached waits for the next permit for a short time, the urgent ones longer, and is then rejected with the time of the next permit.

--- a/core/coord/load/load.go
+++ b/core/coord/load/load.go
@@ -82,7 +82,9 @@
 	peerTimeout time.Duration
 	mu          sync.Mutex
 	own         map[string]Work
-	peers       map[string]peer
+	// demand counts this host's requests by service.
+	demand map[string]counter
+	peers  map[string]peer
 	// reserved holds requests that this host, as the hub, has placed for hosts of its
 	// domain and that their own updates do not include yet.
 	reserved []reservation
@@ -105,6 +107,7 @@
 	updated time.Duration
 	scope   Scope
 	work    map[string]Work
+	demand  Demand
 }
 
 // reservation is one request that a host of the domain is about to send.
@@ -118,7 +121,7 @@
 // New returns an empty table that drops a peer's work after peerTimeout without an
 // update.
 func New(peerTimeout time.Duration) *Table {
-	return &Table{peerTimeout: peerTimeout, own: make(map[string]Work), peers: make(map[string]peer)}
+	return &Table{peerTimeout: peerTimeout, own: make(map[string]Work), demand: make(map[string]counter), peers: make(map[string]peer)}
 }
 
 // Request tracks one of this host's requests at an endpoint.
@@ -173,10 +176,10 @@
 	return maps.Clone(t.own)
 }
 
-// UpdatePeer stores a peer's update on the work at endpoints. An update with
+// UpdatePeer stores a peer's update on the work at endpoints and on demand. An update with
 // ScopeOthers covers all other hosts, so it replaces all earlier updates. It is dropped
 // at the first update with another scope, since this host has then become a hub itself.
-func (t *Table) UpdatePeer(name string, scope Scope, work map[string]Work, now time.Duration) {
+func (t *Table) UpdatePeer(name string, scope Scope, work map[string]Work, demand Demand, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for other, p := range t.peers {
@@ -184,10 +187,10 @@
 			delete(t.peers, other)
 		}
 	}
-	t.peers[name] = peer{updated: now, scope: scope, work: work}
+	t.peers[name] = peer{updated: now, scope: scope, work: work, demand: demand}
 }
 
-// RemovePeer drops the work of a peer that shuts down.
+// RemovePeer drops the work and demand of a peer that shuts down.
 func (t *Table) RemovePeer(host string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -264,8 +267,12 @@
 
 func (t *Table) expire(now time.Duration) {
 	for host, p := range t.peers {
-		if now-p.updated > t.peerTimeout {
+		switch age := now - p.updated; {
+		case age > max(t.peerTimeout, demandTimeout):
 			delete(t.peers, host)
+		case age > t.peerTimeout && p.work != nil:
+			p.work = nil
+			t.peers[host] = p
 		}
 	}
 	t.reserved = slices.DeleteFunc(t.reserved, func(r reservation) bool { return now >= r.until })
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -203,6 +203,7 @@
 		Poison:           suspects,
 		Taint:            h.taint,
 		SampleSize:       h.sampleSize,
+		HostCount:        h.hostCount,
 		Placer:           h,
 		IsPartitioned:    h.isPartitioned,
 		FailureDomain:    s.FailureDomain,
@@ -286,6 +287,9 @@
 	return sampleSizeHubs
 }
 
+// hostCount returns the number of hosts that have ever registered.
+func (h *Host) hostCount() int { return h.hubs.Len() }
+
 // Place asks the hub of the failure domain to place a request.
 func (h *Host) Place(ctx context.Context, q place.Query) (place.Decision, bool) {
 	return h.share.Place(ctx, q)
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -33,22 +33,11 @@
 		return false, fault
 	}
 	j.chosen = c
-	if j.isModel() {
-		if ok, wait := shed.Decide(j.shedRequest(c)); !ok {
-			return false, newRejection(http.StatusServiceUnavailable, wait, "first token is expected in %d ms, and %.1f requests wait for each engine", c.firstToken.Milliseconds(), c.waiting)
-		}
-	}
-	if j.isModel() && !r.mayStart(r.cfg.Mirror.View(), j.params.Model, c.weights, c.firstToken) {
-		return false, r.rejectOldWeights("first token is expected in %d ms, too late for the weights of endpoint %s", c.firstToken.Milliseconds(), c.endpoint.ID)
-	}
-	// The host may have been suspended since the request was received.
-	if j.account != nil && !r.isConfigFresh() {
-		return false, newRejection(http.StatusServiceUnavailable, r.retryAfterStale(), "configuration is too old to accept keys")
-	}
-	timeout := j.clientDeadline.Sub(r.cfg.Clock.Now())
-	if timeout <= 0 {
-		return false, errTimeout
+	if fault := j.checkChoice(c); fault != nil {
+		j.returnPermit(c)
+		return false, fault
 	}
+	timeout := max(time.Millisecond, j.clientDeadline.Sub(r.cfg.Clock.Now()))
 	j.sends++
 	j.attempts++
 	j.endpoint = c.endpoint.ID
@@ -67,6 +56,27 @@
 	return j.receive(ctx, c, resp, decoded, tracked, sent)
 }
 
+// checkChoice returns a rejection if the request must not be sent to its endpoint.
+func (j *job) checkChoice(c choice) *rejection {
+	r := j.r
+	if j.isModel() {
+		if ok, wait := shed.Decide(j.shedRequest(c)); !ok {
+			return newRejection(http.StatusServiceUnavailable, wait, "first token is expected in %d ms, and %.1f requests wait for each engine", c.firstToken.Milliseconds(), c.waiting)
+		}
+		if !r.mayStart(r.cfg.Mirror.View(), j.params.Model, c.weights, c.firstToken) {
+			return r.rejectOldWeights("first token is expected in %d ms, too late for the weights of endpoint %s", c.firstToken.Milliseconds(), c.endpoint.ID)
+		}
+	}
+	// The host may have been suspended since the request was received.
+	if j.account != nil && !r.isConfigFresh() {
+		return newRejection(http.StatusServiceUnavailable, r.retryAfterStale(), "configuration is too old to accept keys")
+	}
+	if r.cfg.Clock.Now().After(j.clientDeadline) {
+		return errTimeout
+	}
+	return nil
+}
+
 // shedRequest returns the input of the load shedding decision.
 func (j *job) shedRequest(c choice) shed.Request {
 	now := j.r.cfg.Clock.Now()
@@ -124,6 +134,7 @@
 		j.recordFailure(c, err)
 	}
 	if conns.IsErrUnsent(err) {
+		j.returnPermit(c)
 		j.attempts--
 		return true, newRejection(http.StatusServiceUnavailable, retryAfterBusy, "endpoint %s: %v", c.endpoint.ID, err)
 	}
--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -45,6 +45,8 @@
 	tokensAhead int
 	// isOwner is set if all hosts prefer the endpoint for the shared prefix.
 	isOwner bool
+	// permitted is set if a permit was taken from the endpoint's request limit.
+	permitted bool
 }
 
 // choose selects an endpoint that was not tried yet. Paused and ejected endpoints are used
@@ -71,11 +73,16 @@
 	if len(list) == 0 {
 		list = usable
 	}
-	work := r.cfg.Loads.Total(now)
+	return j.chooseWithin(ctx, list, usable)
+}
+
+// chooseFrom selects one endpoint of a list.
+func (j *job) chooseFrom(ctx context.Context, list []*site.Endpoint) choice {
+	work := j.r.cfg.Loads.Total(j.r.cfg.Clock.Boot())
 	if !j.isModel() {
-		return j.chooseLeastLoaded(list, work), nil
+		return j.chooseLeastLoaded(list, work)
 	}
-	return j.chooseEngine(ctx, list, work), nil
+	return j.chooseEngine(ctx, list, work)
 }
 
 func (j *job) chooseLeastLoaded(list []*site.Endpoint, work map[string]load.Work) choice {
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -69,6 +69,8 @@
 	// started is set once a part of the response was sent to the client.
 	started   bool
 	lastEvent int
+	// permitWaited is how long the request waited within endpoints' request limits.
+	permitWaited time.Duration
 
 	outcome   string
 	reason    string
@@ -236,7 +238,9 @@
 
 // run sends the request until there is a response or it can't be retried.
 func (j *job) run() {
-	j.r.cfg.Budget.RecordRequest(j.serviceName, j.r.cfg.Clock.Boot())
+	now := j.r.cfg.Clock.Boot()
+	j.r.cfg.Budget.RecordRequest(j.serviceName, now)
+	j.r.cfg.Loads.RecordRequest(j.serviceName, now)
 	ctx, cancel := clock.WithTimeout(j.req.Context(), j.r.cfg.Clock, j.deadline.Sub(j.r.cfg.Clock.Now()))
 	defer cancel()
 	for {
@@ -301,6 +305,9 @@
 	if j.chosen.replacedFor > 0 {
 		args = append(args, "replaced-ms", j.chosen.replacedFor.Milliseconds())
 	}
+	if j.permitWaited > 0 {
+		args = append(args, "limit-wait-ms", j.permitWaited.Milliseconds())
+	}
 	if j.firstByte > 0 {
 		args = append(args, "first-ms", j.firstByte.Milliseconds())
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -70,7 +70,9 @@
 	Taint *taint.Table
 	// SampleSize returns the number of engines that a placement considers.
 	SampleSize func() int
-	Placer     Placer
+	// HostCount returns the number of hosts that have ever registered.
+	HostCount func() int
+	Placer    Placer
 	// IsPartitioned reports whether this host receives no messages from other hosts, so
 	// that it is probably partitioned. Other hosts may then serve requests that it can't.
 	IsPartitioned func() bool
@@ -104,6 +106,8 @@
 	// oldWeights counts the requests rejected because all engines have old weights.
 	oldWeights *metrics.Counter
 	tainted    *metrics.Counter
+	// limited counts the requests rejected because of endpoints' request limits.
+	limited *metrics.Counter
 }
 
 // New returns a Relay and registers its metrics.
@@ -116,6 +120,7 @@
 		firstByte:  cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
 		oldWeights: cfg.Metrics.NewCounter("cicada_relay_old_weights_total"),
 		tainted:    cfg.Metrics.NewCounter("cicada_relay_tainted_total"),
+		limited:    cfg.Metrics.NewCounter("cicada_relay_limited_total"),
 	}
 	r.crashes = newCrashes(r)
 	return r
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -47,6 +47,16 @@
 	})
 }
 
+func demandMessage(demand load.Demand) []*loadpb.Demand {
+	return lo.MapToSlice(demand, func(service string, perSecond float64) *loadpb.Demand {
+		return &loadpb.Demand{Service: service, PerSecond: float32(perSecond)}
+	})
+}
+
+func demandFrom(in []*loadpb.Demand) load.Demand {
+	return lo.SliceToMap(in, func(d *loadpb.Demand) (string, float64) { return d.GetService(), float64(d.GetPerSecond()) })
+}
+
 func (s *Service) suspects() []*loadpb.Suspect {
 	now := s.cfg.Clock.Now()
 	return lo.Map(s.cfg.Poison.Suspects(maxSuspects, now), func(p poison.Suspect, _ int) *loadpb.Suspect {
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -259,7 +259,7 @@
 	now := s.cfg.Clock.Boot()
 	if !s.cfg.Hubs.IsMesh() {
 		if !s.IsHub() {
-			s.cfg.Loads.UpdatePeer(hub, load.ScopeOthers, workFrom(in.GetWork()), now)
+			s.cfg.Loads.UpdatePeer(hub, load.ScopeOthers, workFrom(in.GetWork()), demandFrom(in.GetDemand()), now)
 		}
 	}
 	s.receivePauses(in.GetPauses())
@@ -308,7 +308,7 @@
 	if in.GetLeaving() && scope == load.ScopeHost {
 		s.cfg.Loads.RemovePeer(name)
 	} else {
-		s.cfg.Loads.UpdatePeer(name, scope, workFrom(in.GetWork()), now)
+		s.cfg.Loads.UpdatePeer(name, scope, workFrom(in.GetWork()), demandFrom(in.GetDemand()), now)
 	}
 	s.mergeSuspects(in.GetSuspects())
 	s.mergeCrashes(in.GetCrashes())
@@ -350,6 +350,7 @@
 func (s *Service) memberReply(in *loadpb.Status, now time.Duration) *loadpb.Heard {
 	out := &loadpb.Heard{
 		Work:       workMessage(s.cfg.Loads.TotalExcept(in.GetHost(), now)),
+		Demand:     demandMessage(s.cfg.Loads.DemandExcept(in.GetHost(), now)),
 		Pauses:     s.pauses(),
 		Versions:   s.versions(),
 		Suspects:   s.suspects(),
@@ -387,6 +388,7 @@
 func (s *Service) hostStatus(to string) *loadpb.Status {
 	out := s.baseStatus(to)
 	out.Work = workMessage(s.cfg.Loads.Own())
+	out.Demand = demandMessage(s.cfg.Loads.Demand(s.cfg.Clock.Boot()))
 	return out
 }
 
@@ -394,7 +396,9 @@
 func (s *Service) domainStatus(to string) *loadpb.Status {
 	out := s.baseStatus(to)
 	out.ForDomain = true
-	out.Work = workMessage(s.cfg.Loads.DomainTotal(s.cfg.Clock.Boot()))
+	now := s.cfg.Clock.Boot()
+	out.Work = workMessage(s.cfg.Loads.DomainTotal(now))
+	out.Demand = demandMessage(s.cfg.Loads.DomainDemand(now))
 	return out
 }
 
