Leave the permits of limited endpoints to long prompts first

With the limits kept, the endpoints without one prefilled twice as much as others, and long prompts were late. A limit counts requests whatever their length, so a prompt shorter than the mean now uses a permit only once it is half a second old, while other endpoints are open.

--- a/core/coord/pace/pace.go
+++ b/core/coord/pace/pace.go
@@ -20,6 +20,8 @@
 	// permitLife is how long a permit can be used. Over a span of some seconds, the use of
 	// permits that were issued before adds at most one second's worth of the limit.
 	permitLife = time.Second
+	// SpareAge is the age at which a permit is not likely to be used any more.
+	SpareAge = permitLife / 2
 	// minRate replaces lower limits, in requests per second. Without any request, no host
 	// would learn that the limit has ended.
 	minRate = 0.25
@@ -92,12 +94,12 @@
 }
 
 // MayTake reports whether a host with a share of the demand may send a request to an
-// endpoint now.
-func (t *Table) MayTake(endpoint string, share float64, now time.Duration) bool {
+// endpoint now: whether the endpoint names no limit, or a permit was issued at least age ago.
+func (t *Table) MayTake(endpoint string, share float64, now, age time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.limits[endpoint]
-	return l == nil || l.issue(share, now) <= now
+	return l == nil || l.issue(share, now) <= now-age
 }
 
 // Take uses a permit for one request to an endpoint. It reports false if there is none.
--- a/router/hosted/cluster_test.go
+++ b/router/hosted/cluster_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -243,7 +244,7 @@
 	req.URL.Opaque = path
 	req.Host = "a.example"
 	for name, value := range map[string]string{
-		"X-Request-Id": id, "X-Deadline-Ms": "2500", "X-Model": "m", "X-Token-Usage": "1000,20",
+		"X-Request-Id": id, "X-Deadline-Ms": "2500", "X-Model": "m", "X-Token-Usage": fmt.Sprint(promptTokens(parts), ",20"),
 		"X-Prompt-Prefix": parts, "X-Tenant": "forged", "X-Hold": "forged",
 	} {
 		req.Header.Set(name, value)
@@ -260,6 +261,17 @@
 	return response{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err}
 }
 
+// promptTokens returns the number of tokens of the parts of a prompt.
+func promptTokens(parts string) int {
+	sum := 0
+	for part := range strings.SplitSeq(parts, ",") {
+		_, text, _ := strings.Cut(part, ":")
+		n, _ := strconv.Atoi(text)
+		sum += n
+	}
+	return sum
+}
+
 // rawServer is an endpoint that handles each connection on its own, without an HTTP server.
 type rawServer struct {
 	listener net.Listener
--- a/router/hosted/limit_test.go
+++ b/router/hosted/limit_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"cicadastand.dev/stand/server"
 )
@@ -20,6 +22,8 @@
 	// path and method are those of the requests.
 	method, path string
 	interval     time.Duration
+	// own is the number of tokens that only one prompt has.
+	own int
 
 	stop     chan struct{}
 	done     sync.WaitGroup
@@ -27,8 +31,8 @@
 	statuses map[int]int
 }
 
-func (c *cluster) startLoad(h host, name, method, path string, interval time.Duration) *pacedLoad {
-	l := &pacedLoad{c: c, h: h, name: name, method: method, path: path, interval: interval, stop: make(chan struct{}), statuses: make(map[int]int)}
+func (c *cluster) startLoad(h host, name, method, path string, interval time.Duration, own int) *pacedLoad {
+	l := &pacedLoad{c: c, h: h, name: name, method: method, path: path, interval: interval, own: own, stop: make(chan struct{}), statuses: make(map[int]int)}
 	l.done.Add(1)
 	go l.run()
 	return l
@@ -53,7 +57,7 @@
 func (l *pacedLoad) loop(n int) {
 	defer l.done.Done()
 	id := fmt.Sprint(l.name, "-", n)
-	got := l.c.sendPrompt(l.h, l.method, l.path, id, "key", "", fmt.Sprintf("aa:100,b%d:100,c%s%d:100", n%8, l.name, n))
+	got := l.c.sendPrompt(l.h, l.method, l.path, id, "key", "", fmt.Sprintf("aa:100,b%d:100,c%s%d:%d", n%8, l.name, n, l.own))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.statuses[got.status]++
@@ -107,7 +111,7 @@
 			}
 			var loads []*pacedLoad
 			for i, h := range c.hosts {
-				loads = append(loads, c.startLoad(h, fmt.Sprint(service, i), "POST", path, time.Duration(15+10*i)*time.Millisecond))
+				loads = append(loads, c.startLoad(h, fmt.Sprint(service, i), "POST", path, time.Duration(15+10*i)*time.Millisecond, 100))
 			}
 			time.Sleep(500 * time.Millisecond) // the load before the limit
 			for _, id := range limited {
@@ -135,3 +139,28 @@
 		})
 	}
 }
+
+// A limit counts requests whatever their length. If short prompts take most of it, the
+// endpoints without a limit get most of the long ones.
+func TestLongPromptsComeFirstAtEndpointsWithALimit(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	const limited, long = "i-1", 8000
+	for _, id := range []string{limited, "i-2", "i-3"} {
+		c.startEndpoint(id, "engines", "zone-0", server.Config{Name: "m", Events: 1, Pause: 60 * time.Millisecond})
+	}
+	c.servers[limited].SetNotice("Server-Limit", "10")
+	c.startServing()
+	short := c.startLoad(c.hosts[0], "short", "POST", "/chat/", 12*time.Millisecond, 100)
+	longs := c.startLoad(c.hosts[0], "long", "POST", "/chat/", 50*time.Millisecond, long)
+	time.Sleep(4 * time.Second) // some tens of permits
+	short.end()
+	longs.end()
+	runs := c.servers[limited].Runs()
+	withLong := lo.CountBy(runs, func(r server.Run) bool {
+		return strings.HasSuffix(r.Header.Get("X-Prompt-Prefix"), fmt.Sprint(":", long))
+	})
+	t.Log(len(runs), "runs,", withLong, "of them with long prompts")
+	is.True(len(runs) >= 20)
+	is.True(2*withLong > len(runs)) // one request in five has a long prompt
+}
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -241,6 +241,9 @@
 	now := j.r.cfg.Clock.Boot()
 	j.r.cfg.Budget.RecordRequest(j.serviceName, now)
 	j.r.cfg.Loads.RecordRequest(j.serviceName, now)
+	if j.isModel() {
+		j.r.prompts.observe(j.serviceName, j.params.PromptTokens)
+	}
 	ctx, cancel := clock.WithTimeout(j.req.Context(), j.r.cfg.Clock, j.deadline.Sub(j.r.cfg.Clock.Now()))
 	defer cancel()
 	for {
--- a/router/relay/permit.go
+++ b/router/relay/permit.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"cicadastand.dev/core/coord/pace"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/site"
 )
@@ -47,10 +48,20 @@
 // none in the list.
 func (j *job) takePermit(ctx context.Context, list []*site.Endpoint) (choice, bool) {
 	r := j.r
+	age := time.Duration(0)
+	if j.isShortPrompt() {
+		age = pace.SpareAge
+	}
 	for range maxPermitChoices {
 		now := r.cfg.Clock.Boot()
 		share := j.demandShare(now)
-		open := lo.Filter(list, func(e *site.Endpoint, _ int) bool { return r.cfg.Pace.MayTake(e.ID, share, now) })
+		mayTake := func(age time.Duration) []*site.Endpoint {
+			return lo.Filter(list, func(e *site.Endpoint, _ int) bool { return r.cfg.Pace.MayTake(e.ID, share, now, age) })
+		}
+		open := mayTake(age)
+		if len(open) == 0 && age > 0 {
+			open = mayTake(0)
+		}
 		if len(open) == 0 {
 			return choice{}, false
 		}
@@ -84,6 +95,13 @@
 	return c, nil
 }
 
+// isShortPrompt reports whether the prompt is shorter than others of the service. A limit
+// counts requests whatever their length, so short prompts leave permits to long ones while
+// there are endpoints without a limit.
+func (j *job) isShortPrompt() bool {
+	return j.isModel() && float64(j.params.PromptTokens) < j.r.prompts.mean(j.serviceName)
+}
+
 // demandShare returns this host's part of the demand for the service of the request.
 func (j *job) demandShare(now time.Duration) float64 {
 	return j.r.cfg.Loads.DemandShare(j.serviceName, j.r.cfg.HostCount(), now)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -94,6 +94,7 @@
 type Relay struct {
 	cfg        Config
 	prefill    *prefillRates
+	prompts    *promptLengths
 	weights    *reportedWeights
 	crashes    *crashes
 	roundRobin atomic.Uint64
@@ -115,6 +116,7 @@
 	r := &Relay{
 		cfg:        cfg,
 		prefill:    newPrefillRates(),
+		prompts:    newPromptLengths(),
 		weights:    newReportedWeights(),
 		latency:    cfg.Metrics.NewHistogram("cicada_relay_seconds"),
 		firstByte:  cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
