--- a/core/proto/feed/feed.go
+++ b/core/proto/feed/feed.go
@@ -13,8 +13,12 @@
 // offset.
 const Newest int64 = -1
 
-// ErrTrimmed reports that records after the requested offset have been trimmed from the
-// log; the current state has to be read instead.
+// A store that is restored from a copy begins a new era. Offsets are valid within one era:
+// in the next one they go back, and are given out again. Records that were written after
+// the copy are lost until they are written again.
+
+// ErrTrimmed reports that the log does not have the records after the requested offset: they
+// were trimmed, or the offset is of an earlier era. The current state has to be read instead.
 var ErrTrimmed = errors.New("records have been trimmed from the log")
 
 // IsErrTrimmed reports whether err holds ErrTrimmed.
@@ -22,6 +26,8 @@
 
 // Published holds the records that the operator has published.
 type Published struct {
+	// Era is the era of the store that was read.
+	Era int64
 	// Next is the offset from which to read on.
 	Next int64
 	// Config is the newest configuration that was read; nil if there was none.
@@ -42,6 +48,8 @@
 
 // Entries holds the entries that endpoints have written to the endpoint list.
 type Entries struct {
+	// Era is the era of the store that was read.
+	Era int64
 	// Next is the offset from which to read on.
 	Next int64
 	// Complete is set if Endpoints is the entire list instead of its changes.
@@ -63,6 +71,8 @@
 
 // Hosts holds the registrations of hosts.
 type Hosts struct {
+	// Era is the era of the store that was read.
+	Era    int64
 	Next   int64
 	Hosts  []Host
 	Faults []error
@@ -70,6 +80,8 @@
 
 // Grant is the last record of the lease log.
 type Grant struct {
+	// Era is the era of the store that was read.
+	Era int64
 	// End is the offset after the record; 0 if the lease was never taken.
 	End int64
 	// Holder and Nonce are empty if the record was trimmed from the log.
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -209,6 +209,9 @@
 		}
 		status.record(err)
 		trimmed = feed.IsErrTrimmed(err)
+		if trimmed {
+			w.cfg.Logger.Info("store lacks the operator's records from an offset on", "from", from, "error", err)
+		}
 		if err != nil {
 			w.mu.Lock()
 			w.published.failed = true
@@ -263,6 +266,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.published.known && p.Next < w.published.Next {
+		w.cfg.Logger.Info("ignored read of the operator's records that ends before the known one", "era", p.Era, "next", p.Next, "known", w.published.Next)
 		return
 	}
 	for _, r := range p.Records {
