--- a/stand/memdb/memdb.go
+++ b/stand/memdb/memdb.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -26,6 +28,8 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
+	// era counts how often the store was restored from a copy, from 1.
+	era int64
 	// fault chooses the fault to inject into a call; nil injects none.
 	fault func(method, topic string) Fault
 }
@@ -59,7 +63,40 @@
 }
 
 // New returns an empty store.
-func New() *Store { return &Store{topics: make(map[string]*topic)} }
+func New() *Store { return &Store{topics: make(map[string]*topic), era: 1} }
+
+// Copy is the content of a store at a moment.
+type Copy struct{ topics map[string]*topic }
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Copy{topics: make(map[string]*topic, len(s.topics))}
+	for name, t := range s.topics {
+		out.topics[name] = t.clone()
+	}
+	return out
+}
+
+// Restore replaces the content by a copy and begins a new era. What was written since is
+// lost, and its offsets are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for _, t := range s.topics {
+		close(t.changed)
+	}
+	s.topics = make(map[string]*topic, len(c.topics))
+	for name, t := range c.topics {
+		s.topics[name] = t.clone()
+	}
+}
+
+func (t *topic) clone() *topic {
+	return &topic{records: slices.Clone(t.records), first: t.first, newest: maps.Clone(t.newest), changed: make(chan struct{})}
+}
 
 // SetFault sets the function that chooses the fault of each later call; nil for no faults.
 func (s *Store) SetFault(fault func(method, topic string) Fault) {
@@ -135,6 +172,7 @@
 	s.mu.Lock()
 	fault := s.fault
 	s.mu.Unlock()
+	w = &eraWriter{ResponseWriter: w, s: s}
 	injected := None
 	if fault != nil {
 		injected = fault(r.Method, name)
@@ -153,6 +191,30 @@
 	}
 }
 
+// eraWriter adds the era to a response, as it is when the response is sent.
+type eraWriter struct {
+	http.ResponseWriter
+	s *Store
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	w.setEra()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(p []byte) (int, error) {
+	w.setEra()
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *eraWriter) setEra() {
+	w.s.mu.Lock()
+	defer w.s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatInt(w.s.era, 10))
+}
+
 func (s *Store) appendRecords(w http.ResponseWriter, r *http.Request, name string, injected Fault) {
 	raw, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -219,9 +281,9 @@
 }
 
 // page returns the body and status of a read from an offset: StatusNoContent if it
-// has no records yet, StatusGone if the offset is trimmed.
+// has no records yet, StatusGone if the offset is trimmed or was never reached.
 func (t *topic) page(from int64) ([]byte, int) {
-	if from < t.first {
+	if from < t.first || from > t.end() {
 		return fmt.Appendf(nil, `{"first":%d}`, t.first), http.StatusGone
 	}
 	body := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
--- a/stand/memdb/memdb_test.go
+++ b/stand/memdb/memdb_test.go
@@ -80,9 +80,10 @@
 	db.Trim("keyed.t")
 	_, err := c.Read(ctx, "keyed.t", 0, 0)
 	is.True(store.IsErrTrimmed(err))
-	records, end, err := c.Newest(ctx, "keyed.t")
+	newest, err := c.Newest(ctx, "keyed.t")
 	is.NoErr(err)
-	is.Equal(end, int64(4))
+	records := newest.Records
+	is.Equal(newest.Next, int64(4))
 	is.Equal(len(records), 1)
 	is.Equal(string(records[0].Value), "2")
 }
@@ -104,3 +105,22 @@
 	is.True(!store.IsErrEndMismatch(err) && !store.IsErrStatus(err)) // the outcome of the append is unknown
 	is.Equal(db.Records("t"), int64(1))
 }
+
+// The offsets after a copy are lost, and the era tells that they are given out again.
+func TestRestoredStoreBeginsAnEra(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	db, c := startStore(t)
+	is.NoErr(c.Put(ctx, "keyed.t", "k", []byte("1")))
+	before := db.Copy()
+	is.NoErr(c.Put(ctx, "keyed.t", "k", []byte("2")))
+	db.Restore(before)
+	_, err := c.Read(ctx, "keyed.t", 2, 0)
+	is.True(store.IsErrTrimmed(err))
+	page, err := c.Read(ctx, "keyed.t", 1, 0)
+	is.NoErr(err)
+	is.Equal(page.Era, int64(2))
+	newest, err := c.Newest(ctx, "keyed.t")
+	is.NoErr(err)
+	is.Equal(newest, store.Newest{Era: 2, Next: 1, Records: []store.Record{{Key: "k", Value: []byte("1")}}})
+}
