Compare reads of the operator's records by the era of the store

Hosts told reads apart by their offset alone, and dropped all that ended before the one they knew. Class of fault: a position that is valid within one history is compared with that of another.

Reads are compared by era, then offset, also those that hosts pass on to each other. A read in a later era starts from the newest records. Configuration and weights never go back; while the store has an older configuration than the host, no read proves that there is no newer one.

--- a/core/proto/feed/feed.go
+++ b/core/proto/feed/feed.go
@@ -3,6 +3,7 @@
 package feed
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -146,10 +147,17 @@
 
 // ReadMark describes the newest read of a topic, by this host or by another one.
 type ReadMark struct {
-	// Next is the offset after the last record.
+	// Era is the era of the store, and Next the offset after the last record.
+	Era  int64
 	Next int64
 	// Started is when the read started.
 	Started time.Duration
 	// Own is set if this host made the read.
 	Own bool
 }
+
+// Precedes reports whether a read ended before another one: in an earlier era, or at a lower
+// offset of the same era.
+func (m ReadMark) Precedes(other ReadMark) bool {
+	return cmp.Or(cmp.Compare(m.Era, other.Era), cmp.Compare(m.Next, other.Next)) < 0
+}
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -36,9 +36,9 @@
 
 func (emptyStore) Records() []feed.Record { return nil }
 
-func (emptyStore) ReceiveRecords([]feed.Record, int64, time.Duration) {}
+func (emptyStore) ReceiveRecords([]feed.Record, feed.ReadMark) {}
 
-func (emptyStore) ReceivePublished(int64, time.Duration) {}
+func (emptyStore) ReceivePublished(feed.ReadMark) {}
 
 func (emptyStore) ReceiveEndpoints(map[string]*site.Endpoint, time.Duration) {}
 
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -50,11 +50,10 @@
 	Endpoints() (list map[string]*site.Endpoint, fingerprint uint64, read feed.ReadMark, ok bool)
 	// Records returns the operator's newest record of each key.
 	Records() []feed.Record
-	// ReceiveRecords applies records that another host has read up to offset next.
-	ReceiveRecords(records []feed.Record, next int64, started time.Duration)
-	// ReceivePublished applies the result of a read by another host: its end offset
-	// and when it started.
-	ReceivePublished(next int64, started time.Duration)
+	// ReceiveRecords applies the newest records that another host has.
+	ReceiveRecords(records []feed.Record, read feed.ReadMark)
+	// ReceivePublished applies the result of a read by another host.
+	ReceivePublished(read feed.ReadMark)
 	// ReceiveEndpoints applies the endpoint list of another host; list is nil if it
 	// equals this host's list.
 	ReceiveEndpoints(list map[string]*site.Endpoint, started time.Duration)
@@ -275,10 +274,11 @@
 // sent at sent.
 func (s *Service) receiveReads(in *loadpb.Heard, sent time.Duration) {
 	if m := in.GetPublished(); m.GetKnown() {
+		read := feed.ReadMark{Era: m.GetEra(), Next: m.GetNext(), Started: sent - readAge(m)}
 		if records := in.GetRecords(); len(records) > 0 {
-			s.cfg.Store.ReceiveRecords(lo.Map(records, recordFrom), m.GetNext(), sent-readAge(m))
+			s.cfg.Store.ReceiveRecords(lo.Map(records, recordFrom), read)
 		}
-		s.cfg.Store.ReceivePublished(m.GetNext(), sent-readAge(m))
+		s.cfg.Store.ReceivePublished(read)
 	}
 	if m := in.GetRosterRead(); m.GetKnown() {
 		s.cfg.Store.ReceiveEndpoints(endpointsFrom(in.GetEndpoints()), sent-readAge(m))
@@ -366,22 +366,31 @@
 func (s *Service) addReads(out *loadpb.Heard, in *loadpb.Status, include func(feed.ReadMark) bool) {
 	now := s.cfg.Clock.Boot()
 	if read, ok := s.cfg.Store.Published(); ok && include(read) {
-		out.Published = newMark(read.Next, now-read.Started)
-		if read.Next > in.GetPublishedNext() {
+		out.Published = newMark(read, now)
+		theirs := feed.ReadMark{Era: in.GetPublishedEra(), Next: in.GetPublishedNext()}
+		if theirs.Precedes(read) || s.configVersion() > in.GetConfigVersion() {
 			out.Records = lo.Map(s.cfg.Store.Records(), recordMessage)
 		}
 	}
 	if list, fingerprint, read, ok := s.cfg.Store.Endpoints(); ok && include(read) {
-		out.RosterRead = newMark(0, now-read.Started)
+		out.RosterRead = newMark(feed.ReadMark{Started: read.Started}, now)
 		if fingerprint != in.GetRoster() {
 			out.Endpoints = endpointMessages(list)
 		}
 	}
 }
 
-func newMark(next int64, age time.Duration) *loadpb.Mark {
+// configVersion returns the version of this host's configuration; 0 if it has none.
+func (s *Service) configVersion() int64 {
+	if c := s.cfg.Mirror.View().Config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func newMark(read feed.ReadMark, now time.Duration) *loadpb.Mark {
 	// Rounding up keeps the age from being understated.
-	return &loadpb.Mark{Known: true, Next: next, AgeMs: uint32(max(0, age.Milliseconds()+1))}
+	return &loadpb.Mark{Known: true, Era: read.Era, Next: read.Next, AgeMs: uint32(max(0, (now-read.Started).Milliseconds()+1))}
 }
 
 // hostStatus returns the status of this host for one peer.
@@ -422,6 +431,7 @@
 	}
 	// What this host has of the records does not depend on whether its last read failed.
 	read, _ := s.cfg.Store.Published()
-	out.PublishedNext = read.Next
+	out.PublishedEra, out.PublishedNext = read.Era, read.Next
+	out.ConfigVersion = s.configVersion()
 	return out
 }
--- a/router/watch/watch_test.go
+++ b/router/watch/watch_test.go
@@ -59,9 +59,9 @@
 func TestRejectedHostReceivesConfigurationFromHub(t *testing.T) {
 	is := is.New(t)
 	w, local := watcher(t)
-	w.ReceiveRecords(record(1), 5, 10*time.Second)
+	w.ReceiveRecords(record(1), feed.ReadMark{Next: 5, Started: 10 * time.Second})
 	is.Equal(local.View().Config.Version, int64(1))
-	w.ReceiveRecords(record(3), 7, 12*time.Second)
+	w.ReceiveRecords(record(3), feed.ReadMark{Next: 7, Started: 12 * time.Second})
 	is.Equal(local.View().Config.Version, int64(3))
 	read, ok := w.Published()
 	is.True(ok)
@@ -75,13 +75,13 @@
 func TestOlderRecordsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	w, local := watcher(t)
-	w.ReceiveRecords(record(3), 7, 10*time.Second)
-	w.ReceiveRecords(record(2), 6, 20*time.Second) // from a hub without the newest record
+	w.ReceiveRecords(record(3), feed.ReadMark{Next: 7, Started: 10 * time.Second})
+	w.ReceiveRecords(record(2), feed.ReadMark{Next: 6, Started: 20 * time.Second}) // from a hub without the newest record
 	is.Equal(local.View().Config.Version, int64(3))
 	want := feed.ReadMark{Next: 7, Started: 10 * time.Second}
 	read, _ := w.Published()
 	is.Equal(read, want)
-	w.ReceiveRecords(record(3), 7, 5*time.Second) // same offset, older read
+	w.ReceiveRecords(record(3), feed.ReadMark{Next: 7, Started: 5 * time.Second}) // same offset, older read
 	read, _ = w.Published()
 	is.Equal(read, want)
 	w.applyPublished(feed.Published{Next: 6}, 20*time.Second, true) // a read of this host that started before the newest record
@@ -96,13 +96,13 @@
 	w, _ := watcher(t)
 	w.cfg.TakeoverAfter, w.cfg.DirectAfter = 1250*time.Millisecond, 1500*time.Millisecond
 	now := w.cfg.Clock.Boot()
-	w.ReceiveRecords(record(1), 5, now-2*time.Second)
+	w.ReceiveRecords(record(1), feed.ReadMark{Next: 5, Started: now - 2*time.Second})
 	is.True(w.shouldRead(w.publishedMark(), Hub, 0))
 	w.applyPublished(feed.Published{Next: 5}, now, true)
-	is.True(w.shouldRead(w.publishedMark(), Hub, 0))            // no other host reads for it
-	is.True(!w.shouldRead(w.publishedMark(), Hub, time.Minute)) // but not more often than the reader would
-	is.True(!w.shouldRead(w.publishedMark(), Member, 0))        // its own read is recent
-	w.ReceivePublished(5, now-time.Second)                      // older than its own, but recent
+	is.True(w.shouldRead(w.publishedMark(), Hub, 0))                       // no other host reads for it
+	is.True(!w.shouldRead(w.publishedMark(), Hub, time.Minute))            // but not more often than the reader would
+	is.True(!w.shouldRead(w.publishedMark(), Member, 0))                   // its own read is recent
+	w.ReceivePublished(feed.ReadMark{Next: 5, Started: now - time.Second}) // older than its own, but recent
 	is.True(!w.shouldRead(w.publishedMark(), Hub, 0))
 	is.True(w.shouldRead(w.publishedMark(), Reader, 0))
 }
@@ -118,7 +118,7 @@
 	published, _ := w.Published()
 	_, _, entries, _ := w.Endpoints()
 	is.True(published.Own && entries.Own)
-	w.ReceivePublished(5, now+time.Second)
+	w.ReceivePublished(feed.ReadMark{Next: 5, Started: now + time.Second})
 	w.ReceiveEndpoints(nil, now+time.Second)
 	published, _ = w.Published()
 	_, _, entries, _ = w.Endpoints()
@@ -156,3 +156,42 @@
 	w.RunPublished(ctx)
 	is.Equal(s.waits, []time.Duration{500 * time.Millisecond, 0, 0, 500 * time.Millisecond})
 }
+
+// A restored store has an older configuration than the hosts until the operator writes it
+// again. Until then no read proves that there is no newer one, and hosts pass on theirs.
+func TestOlderConfigurationOfARestoredStoreIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	w, local := watcher(t)
+	published := func(version, era, next int64, started time.Duration) feed.Published {
+		p := w.cfg.Store.Decode(record(int(version)))
+		p.Era, p.Next = era, next
+		is.True(w.applyPublished(p, started, true))
+		return p
+	}
+	published(3, 1, 7, 10*time.Second)
+	published(2, 2, 4, 20*time.Second)
+	is.Equal(local.View().Config.Version, int64(3))
+	read, _ := w.Published()
+	is.Equal(read, feed.ReadMark{Era: 2, Next: 4, Started: 20 * time.Second, Own: true})
+	is.Equal(len(w.Records()[0].Value), 3)
+	age, _ := local.ConfigAge(20 * time.Second)
+	is.Equal(age, 10*time.Second)
+	w.ReceivePublished(feed.ReadMark{Era: 1, Next: 7, Started: 21 * time.Second}) // from a host that lags
+	read, _ = w.Published()
+	is.Equal(read.Era, int64(2))
+	published(3, 2, 5, 22*time.Second)
+	age, _ = local.ConfigAge(22 * time.Second)
+	is.Equal(age, time.Duration(0))
+}
+
+// A host that started after the restore has read the older configuration; another host still
+// has the newer one.
+func TestConfigurationThatTheStoreLostIsReceivedFromAnotherHost(t *testing.T) {
+	is := is.New(t)
+	w, local := watcher(t)
+	mark := feed.ReadMark{Era: 2, Next: 4, Started: 10 * time.Second}
+	w.ReceiveRecords(record(2), mark)
+	w.ReceiveRecords(record(3), mark)
+	is.Equal(local.View().Config.Version, int64(3))
+	is.Equal(len(w.Records()[0].Value), 3)
+}
