Do not use endpoints again that a restored store still lists

Entries of endpoints that joined after the copy were dropped at once.

In the first read of an era, an entry does not undo that its endpoint left; a later one does once the endpoint has written it again or restarted. Entries that the copy lacks are kept for the time in which endpoints write again, as after an outage. Reads from an offset of an earlier era are repeated from the newest entries. Hosts pass era and write counts on with the list.

--- a/core/state/site/site.go
+++ b/core/state/site/site.go
@@ -212,6 +212,9 @@
 	Draining bool
 	// Started is when the incarnation started; zero if unknown.
 	Started time.Time
+	// Sequence counts the writes of the entry by the endpoint. It is as of the last other
+	// change of the entry on hosts that receive the list.
+	Sequence int64
 	// Weights is the weights version by model.
 	Weights map[string]int
 }
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -187,6 +187,7 @@
 			Slots:     uint32(e.Slots),
 			Leaving:   e.Draining,
 			StartedMs: e.Started.UnixMilli(),
+			Sequence:  e.Sequence,
 			Weights:   lo.MapValues(e.Weights, func(v int, _ string) uint32 { return uint32(v) }),
 		}
 	})
@@ -213,6 +214,7 @@
 			Slots:         int(m.GetSlots()),
 			Draining:      m.GetLeaving(),
 			Started:       time.UnixMilli(m.GetStartedMs()),
+			Sequence:      m.GetSequence(),
 			Weights:       lo.MapValues(m.GetWeights(), func(v uint32, _ string) int { return int(v) }),
 		}
 	}
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -40,7 +40,7 @@
 
 func (emptyStore) ReceivePublished(feed.ReadMark) {}
 
-func (emptyStore) ReceiveEndpoints(map[string]*site.Endpoint, time.Duration) {}
+func (emptyStore) ReceiveEndpoints(map[string]*site.Endpoint, feed.ReadMark) {}
 
 // domainHosts returns 14 hosts of one failure domain. The first one has the fastest
 // link, so it is the hub.
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -55,8 +55,8 @@
 	// ReceivePublished applies the result of a read by another host.
 	ReceivePublished(read feed.ReadMark)
 	// ReceiveEndpoints applies the endpoint list of another host; list is nil if it
-	// equals this host's list.
-	ReceiveEndpoints(list map[string]*site.Endpoint, started time.Duration)
+	// equals this host's list. The read has no offset.
+	ReceiveEndpoints(list map[string]*site.Endpoint, read feed.ReadMark)
 }
 
 // Lease is the lease of the host that sends orders to engines.
@@ -281,7 +281,7 @@
 		s.cfg.Store.ReceivePublished(read)
 	}
 	if m := in.GetRosterRead(); m.GetKnown() {
-		s.cfg.Store.ReceiveEndpoints(endpointsFrom(in.GetEndpoints()), sent-readAge(m))
+		s.cfg.Store.ReceiveEndpoints(endpointsFrom(in.GetEndpoints()), feed.ReadMark{Era: m.GetEra(), Started: sent - readAge(m)})
 	}
 }
 
@@ -373,7 +373,7 @@
 		}
 	}
 	if list, fingerprint, read, ok := s.cfg.Store.Endpoints(); ok && include(read) {
-		out.RosterRead = newMark(feed.ReadMark{Started: read.Started}, now)
+		out.RosterRead = newMark(feed.ReadMark{Era: read.Era, Started: read.Started}, now)
 		if fingerprint != in.GetRoster() {
 			out.Endpoints = endpointMessages(list)
 		}
--- a/router/watch/endpoints_test.go
+++ b/router/watch/endpoints_test.go
@@ -53,6 +53,47 @@
 	is.Equal(len(hub.list()), 1)
 	is.True(hub.keepsExpired(10 * time.Second))
 	member := newEndpointList()
-	member.replace(endpoints("b"), 10*time.Second)
+	member.replace(endpoints("b"), 0, 10*time.Second)
 	is.True(!member.keepsExpired(10 * time.Second)) // a list from an authoritative hub contains no expired entries
 }
+
+func entry(id string, sequence int64, draining bool) map[string]*site.Endpoint {
+	return map[string]*site.Endpoint{id: {ID: id, Sequence: sequence, Draining: draining}}
+}
+
+// A copy of the store has entries of endpoints that have been removed since, or that it
+// lists as ready though they drain. They count again once they are written again.
+func TestEntriesOfACopyDoNotBringBackEndpointsThatLeft(t *testing.T) {
+	for _, left := range []feed.Entries{
+		{Era: 1, Removed: []string{"a"}},
+		{Era: 1, Endpoints: entry("a", 8, true)},
+	} {
+		is := is.New(t)
+		l := newEndpointList()
+		usable := func() bool { return l.list()["a"] != nil && !l.list()["a"].Draining }
+		l.apply(feed.Entries{Era: 1, Complete: true, Endpoints: entry("a", 5, false)}, 0)
+		is.True(usable())
+		l.apply(left, time.Second)
+		is.True(!usable())
+		fromCopy := feed.Entries{Era: 2, Complete: true, Endpoints: entry("a", 7, false)}
+		l.apply(fromCopy, 2*time.Second)
+		l.apply(fromCopy, 3*time.Second)
+		is.True(!usable())
+		l.replace(entry("a", 7, false), 2, 4*time.Second) // from a host that started since
+		is.True(!usable())
+		l.apply(feed.Entries{Era: 2, Endpoints: entry("a", 9, false)}, 5*time.Second)
+		is.True(usable())
+	}
+}
+
+// Endpoints that joined after the copy was made have time to write their entries again.
+func TestEntriesThatACopyLacksAreKeptUntilRenewed(t *testing.T) {
+	is := is.New(t)
+	l := newEndpointList()
+	l.apply(feed.Entries{Era: 1, Complete: true, Endpoints: endpoints("a", "b")}, 0)
+	l.apply(feed.Entries{Era: 2, Complete: true, Endpoints: endpoints("a")}, time.Second)
+	is.Equal(len(l.list()), 2)
+	is.True(l.keepsExpired(time.Second))
+	l.apply(feed.Entries{Era: 2}, time.Second+renewTime)
+	is.Equal(len(l.list()), 1)
+}
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -409,7 +409,7 @@
 		m := w.entriesMark
 		w.mu.Unlock()
 		if w.shouldRead(m, w.cfg.Role(), w.cfg.EntriesInterval) {
-			w.readEntries(ctx, m.Next, status)
+			w.readEntries(ctx, m, status)
 		}
 		select {
 		case <-tick.C():
@@ -419,13 +419,16 @@
 	}
 }
 
-func (w *Watcher) readEntries(ctx context.Context, from int64, status *storeStatus) {
+func (w *Watcher) readEntries(ctx context.Context, m readMark, status *storeStatus) {
+	from := m.Next
 	if from == 0 {
 		from = feed.Newest
 	}
-	started := w.cfg.Clock.Boot()
-	w.reads.Inc()
-	e, err := w.cfg.Store.Entries(ctx, from)
+	e, started, err := w.entries(ctx, from)
+	if err == nil && !e.Complete && e.Era > m.Era {
+		// The offset was of an earlier era.
+		e, started, err = w.entries(ctx, feed.Newest)
+	}
 	if ctx.Err() != nil {
 		return
 	}
@@ -443,13 +446,24 @@
 	w.pauseAfter(ctx, err)
 }
 
+// entries reads entries of endpoints and returns when the read started.
+func (w *Watcher) entries(ctx context.Context, from int64) (feed.Entries, time.Duration, error) {
+	started := w.cfg.Clock.Boot()
+	w.reads.Inc()
+	e, err := w.cfg.Store.Entries(ctx, from)
+	return e, started, err
+}
+
 func (w *Watcher) applyEntries(e feed.Entries, started time.Duration) {
 	for _, fault := range e.Faults {
 		w.cfg.Logger.Warn("ignored invalid endpoint entry", "error", fault)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.entriesMark.update(feed.ReadMark{Next: e.Next, Started: started, Own: true})
+	if known := w.entriesMark; known.known && e.Era > known.Era {
+		w.cfg.Logger.Warn("store was restored from a copy", "reads", "endpoints", "era", e.Era, "next", e.Next, "era-before", known.Era, "next-before", known.Next)
+	}
+	w.entriesMark.update(feed.ReadMark{Era: e.Era, Next: e.Next, Started: started, Own: true})
 	w.updateMirror(w.endpoints.apply(e, w.cfg.Clock.Boot()), e.Next)
 }
 
@@ -477,18 +491,18 @@
 
 // ReceiveEndpoints applies the endpoint list of another host; list is nil if it equals
 // this host's list. A read that is not newer than the known one is ignored.
-func (w *Watcher) ReceiveEndpoints(list map[string]*site.Endpoint, started time.Duration) {
+func (w *Watcher) ReceiveEndpoints(list map[string]*site.Endpoint, read feed.ReadMark) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.entriesMark.received = max(w.entriesMark.received, started)
-	if w.entriesMark.known && started <= w.entriesMark.Started {
+	w.entriesMark.received = max(w.entriesMark.received, read.Started)
+	if w.entriesMark.known && read.Started <= w.entriesMark.Started {
 		return
 	}
 	// The end offset of that read is unknown, so the next read by this host requests
 	// the current entries of all endpoints instead of the records since an offset.
-	w.entriesMark.update(feed.ReadMark{Started: started})
+	w.entriesMark.update(feed.ReadMark{Era: read.Era, Started: read.Started})
 	if list != nil {
-		w.updateMirror(w.endpoints.replace(list, w.cfg.Clock.Boot()), 0)
+		w.updateMirror(w.endpoints.replace(list, read.Era, w.cfg.Clock.Boot()), 0)
 	}
 }
 
--- a/router/watch/watch_test.go
+++ b/router/watch/watch_test.go
@@ -119,7 +119,7 @@
 	_, _, entries, _ := w.Endpoints()
 	is.True(published.Own && entries.Own)
 	w.ReceivePublished(feed.ReadMark{Next: 5, Started: now + time.Second})
-	w.ReceiveEndpoints(nil, now+time.Second)
+	w.ReceiveEndpoints(nil, feed.ReadMark{Started: now + time.Second})
 	published, _ = w.Published()
 	_, _, entries, _ = w.Endpoints()
 	is.True(!published.Own && !entries.Own)
