Keep one holder of the lease when the store is restored

A token was the offset of a grant, and offsets are given out again; an empty log stood for a lease that nobody holds.

A token is the era and the offset. In a new era a lease counts from the first sight of the era, whatever the log has; the holder may renew. Reads of the lease go on from the first offset that the log has.

--- a/core/coord/lease/lease.go
+++ b/core/coord/lease/lease.go
@@ -31,8 +31,10 @@
 
 // Lease is this host's view of the lease. It is not safe for concurrent use.
 type Lease struct {
-	cfg      Config
-	known    bool
+	cfg   Config
+	known bool
+	// seen is set once a grant was known.
+	seen     bool
 	grant    feed.Grant
 	observed time.Duration
 	// until is when this host stops acting as the holder; 0 if it is not the holder.
@@ -52,14 +54,25 @@
 // NextOffset returns the offset at which the next grant has to be appended.
 func (l *Lease) NextOffset() int64 { return l.grant.End }
 
-// Observe records the last grant on the log, from a read that ended at now.
+// Observe records the last grant on the log, from a read that ended at now. In a new era the
+// newest grants may be lost while their holder still acts on them. So a lease counts from now
+// then, whatever the log has. If this host is that holder, it may renew.
 func (l *Lease) Observe(g feed.Grant, now time.Duration) {
-	if l.known && g.End <= l.grant.End {
+	if l.known && g.Fence() <= l.grant.Fence() {
 		return
 	}
-	l.known = true
+	restored := l.seen && g.Era > l.grant.Era
+	l.known, l.seen = true, true
 	l.grant = g
 	l.observed = now
+	if restored {
+		// An append of an earlier era may take effect late.
+		l.pendingNonce = ""
+	}
+	if restored && l.Holds(now) {
+		l.grant.Holder = l.cfg.Host
+		return
+	}
 	l.until = 0
 	if g.Nonce != "" && g.Nonce == l.pendingNonce {
 		l.hold(l.pendingSince)
@@ -79,11 +92,20 @@
 	l.until = 0
 }
 
-// AppendSucceeded records that the append was accepted, so this host is the holder.
-func (l *Lease) AppendSucceeded() {
-	l.known = true
-	l.grant = feed.Grant{End: l.grant.End + 1, Holder: l.cfg.Host, Nonce: l.pendingNonce}
+// AppendSucceeded records that the append was accepted in an era of the log, and reports
+// whether this host is the holder. In a new era it is only if it was already: another
+// host's grant may be lost.
+func (l *Lease) AppendSucceeded(era int64) bool {
+	restored := era > l.grant.Era
+	held := l.pendingSince < l.until
+	l.known, l.seen = true, true
+	l.grant = feed.Grant{Era: max(era, l.grant.Era), End: l.grant.End + 1, Holder: l.cfg.Host, Nonce: l.pendingNonce}
+	if restored && !held {
+		l.observed, l.until = l.pendingSince, 0
+		return false
+	}
 	l.hold(l.pendingSince)
+	return true
 }
 
 // hold makes this host the holder, from the time at which the append was sent.
@@ -104,10 +126,13 @@
 	return l.Holds(now) && l.until-now < time.Duration(renewShare*float64(l.cfg.Duration))
 }
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
 // Wait returns how long this host has to wait before it may append a grant. The last
 // holder need not wait.
 func (l *Lease) Wait(now time.Duration) time.Duration {
-	if l.grant.End == 0 || l.grant.Holder == l.cfg.Host && l.until > 0 {
+	if l.grant.End == 0 && l.grant.Era <= firstEra || l.grant.Holder == l.cfg.Host && l.until > 0 {
 		return 0
 	}
 	return max(0, l.observed+l.cfg.Duration-now)
@@ -117,4 +142,4 @@
 func (l *Lease) IsLastHolder() bool { return l.grant.Holder == l.cfg.Host && l.until > 0 }
 
 // FencingToken returns the fencing token of the lease that this host holds.
-func (l *Lease) FencingToken() int64 { return l.grant.End }
+func (l *Lease) FencingToken() int64 { return l.grant.Fence() }
--- a/core/proto/feed/feed.go
+++ b/core/proto/feed/feed.go
@@ -20,10 +20,23 @@
 
 // ErrTrimmed reports that the log does not have the records after the requested offset: they
 // were trimmed, or the offset is of an earlier era. The current state has to be read instead.
-var ErrTrimmed = errors.New("records have been trimmed from the log")
+type ErrTrimmed struct {
+	// First is the offset of the oldest record that the log has.
+	First int64
+	Err   error
+}
+
+// Error implements error.
+func (e *ErrTrimmed) Error() string { return "records are not in the log: " + e.Err.Error() }
 
-// IsErrTrimmed reports whether err holds ErrTrimmed.
-func IsErrTrimmed(err error) bool { return errors.Is(err, ErrTrimmed) }
+// Unwrap returns the cause.
+func (e *ErrTrimmed) Unwrap() error { return e.Err }
+
+// IsErrTrimmed reports whether err holds an ErrTrimmed.
+func IsErrTrimmed(err error) bool {
+	var target *ErrTrimmed
+	return errors.As(err, &target)
+}
 
 // Published holds the records that the operator has published.
 type Published struct {
@@ -90,6 +103,18 @@
 	Nonce  string
 }
 
+// Fence returns the fencing token of the grant. It goes up with each grant, also when a
+// restored store gives out offsets again.
+func (g Grant) Fence() int64 { return g.Era<<eraShift | g.End }
+
+// eraShift is the number of bits of a fencing token for the offset within an era.
+const eraShift = 32
+
+// GrantFrom returns the grant with a fencing token.
+func GrantFrom(holder string, fence int64) Grant {
+	return Grant{Era: fence >> eraShift, End: fence & (1<<eraShift - 1), Holder: holder}
+}
+
 // ErrLeaseTaken reports that another host acquired the lease first.
 var ErrLeaseTaken = errors.New("lease was taken by another host")
 
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -306,11 +306,11 @@
 	return pausePropagationHubs
 }
 
-// HeldGrant returns the end offset of the lease grant that this host holds; 0 if it holds none.
+// HeldGrant returns the fencing token of the lease grant that this host holds; 0 if it holds none.
 func (h *Host) HeldGrant() int64 { return h.weight.HeldGrant() }
 
-// HearGrant records that another host holds the lease grant with an end offset.
-func (h *Host) HearGrant(holder string, end int64) { h.weight.HearGrant(holder, end) }
+// HearGrant records that another host holds the lease grant with a fencing token.
+func (h *Host) HearGrant(holder string, fence int64) { h.weight.HearGrant(holder, fence) }
 
 // isHub reports whether this host is the hub of its failure domain.
 func (h *Host) isHub() bool { return h.share.IsHub() }
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -61,10 +61,10 @@
 
 // Lease is the lease of the host that sends orders to engines.
 type Lease interface {
-	// HeldGrant returns the end offset of the grant that this host holds; 0 if it holds none.
+	// HeldGrant returns the fencing token of the grant that this host holds; 0 if it holds none.
 	HeldGrant() int64
-	// HearGrant records that another host holds the grant with an end offset.
-	HearGrant(holder string, end int64)
+	// HearGrant records that another host holds the grant with a fencing token.
+	HearGrant(holder string, fence int64)
 }
 
 // Config configures a Service.
@@ -314,8 +314,8 @@
 	s.mergeCrashes(in.GetCrashes())
 	s.receivePauses(in.GetPauses())
 	s.receiveVersions(in.GetVersions())
-	if end := in.GetLeaseEnd(); end > 0 {
-		s.cfg.Lease.HearGrant(in.GetHost(), end)
+	if fence := in.GetLeaseFence(); fence > 0 {
+		s.cfg.Lease.HearGrant(in.GetHost(), fence)
 	}
 	for _, m := range in.GetPlacements() {
 		p := placementFrom(m, now)
@@ -419,7 +419,7 @@
 		Host:       s.cfg.Self.Name,
 		Domain:     s.cfg.Self.FailureDomain,
 		Leaving:    leaving,
-		LeaseEnd:   s.cfg.Lease.HeldGrant(),
+		LeaseFence: s.cfg.Lease.HeldGrant(),
 		Pauses:     s.pauses(),
 		Versions:   s.versions(),
 		Suspects:   s.suspects(),
--- a/router/weight/weight.go
+++ b/router/weight/weight.go
@@ -25,8 +25,8 @@
 type LeaseLog interface {
 	// Grant returns the last grant. It reads the log from an offset.
 	Grant(ctx context.Context, from int64) (feed.Grant, error)
-	// Take appends a grant if the log ends at an offset.
-	Take(ctx context.Context, at int64, holder, nonce string) error
+	// Take appends a grant if the log ends at an offset, and returns the era of the log.
+	Take(ctx context.Context, at int64, holder, nonce string) (era int64, err error)
 }
 
 // Engines calls the control interface of the engines.
@@ -185,7 +185,7 @@
 	}
 }
 
-// HeldGrant returns the end offset of the grant that this host holds; 0 if it holds none.
+// HeldGrant returns the fencing token of the grant that this host holds; 0 if it holds none.
 func (r *Runner) HeldGrant() int64 {
 	if t := r.held.Load(); t != nil && r.cfg.Clock.Boot() < t.until {
 		return t.fence
@@ -193,13 +193,13 @@
 	return 0
 }
 
-// HearGrant records that another host has announced its grant with an end offset. The lease
+// HearGrant records that another host has announced its grant with a fencing token. The lease
 // counts from now, which is later than the grant.
-func (r *Runner) HearGrant(holder string, end int64) {
-	next := &heardGrant{Grant: feed.Grant{End: end, Holder: holder}, at: r.cfg.Clock.Boot()}
+func (r *Runner) HearGrant(holder string, fence int64) {
+	next := &heardGrant{Grant: feed.GrantFrom(holder, fence), at: r.cfg.Clock.Boot()}
 	for {
 		known := r.heard.Load()
-		if known != nil && known.End > end || r.heard.CompareAndSwap(known, next) {
+		if known != nil && known.Fence() > fence || r.heard.CompareAndSwap(known, next) {
 			return
 		}
 	}
@@ -208,13 +208,13 @@
 // observeHeard applies the newest announced grant.
 func (r *Runner) observeHeard() {
 	h := r.heard.Load()
-	if h == nil || !r.lease.Known() || h.End < r.lease.NextOffset() {
+	if h == nil || !r.lease.Known() || h.Fence() < r.lease.FencingToken() {
 		return
 	}
 	r.lastLeaseNews = max(r.lastLeaseNews, h.at)
-	if h.End > r.lease.NextOffset() {
+	if h.Fence() > r.lease.FencingToken() {
 		r.lease.Observe(h.Grant, h.at)
-		r.cfg.Logger.Info("lease heard", "holder", h.Holder, "end", h.End)
+		r.cfg.Logger.Info("lease heard", "holder", h.Holder, "era", h.Era, "end", h.End)
 	}
 }
 
@@ -262,10 +262,13 @@
 	r.renewing = r.lease.IsLastHolder()
 	nonce := uuid.NewString()
 	r.lease.BeginAppend(nonce, now)
-	err := r.cfg.LeaseLog.Take(ctx, r.lease.NextOffset(), r.cfg.Host, nonce)
+	era, err := r.cfg.LeaseLog.Take(ctx, r.lease.NextOffset(), r.cfg.Host, nonce)
 	switch {
 	case err == nil:
-		r.lease.AppendSucceeded()
+		if !r.lease.AppendSucceeded(era) {
+			r.cfg.Logger.Warn("lease not used because the store was restored from a copy", "era", era, "wait-ms", r.lease.Wait(r.cfg.Clock.Boot()).Milliseconds())
+			return false
+		}
 		r.startTenure()
 		r.cfg.Logger.Info("lease acquired", "fence", r.lease.FencingToken())
 		return true
@@ -283,8 +286,9 @@
 		return
 	}
 	g, err := r.cfg.LeaseLog.Grant(ctx, max(0, r.lease.NextOffset()-1))
-	if feed.IsErrTrimmed(err) {
-		g, err = r.cfg.LeaseLog.Grant(ctx, r.lease.NextOffset())
+	var trimmed *feed.ErrTrimmed
+	if errors.As(err, &trimmed) {
+		g, err = r.cfg.LeaseLog.Grant(ctx, trimmed.First)
 	}
 	now := r.cfg.Clock.Boot()
 	r.lastLeaseNews = now
@@ -299,7 +303,7 @@
 		// An append of this host whose outcome was unknown has succeeded.
 		r.startTenure()
 	}
-	r.cfg.Logger.Info("lease read", "holder", g.Holder, "end", g.End)
+	r.cfg.Logger.Info("lease read", "holder", g.Holder, "era", g.Era, "end", g.End)
 }
 
 // requestReports requests the reports of the engines that have an order in progress.
--- a/router/weight/weight_test.go
+++ b/router/weight/weight_test.go
@@ -25,9 +25,9 @@
 
 func (*freeLease) Grant(context.Context, int64) (feed.Grant, error) { return feed.Grant{}, nil }
 
-func (l *freeLease) Take(context.Context, int64, string, string) error {
+func (l *freeLease) Take(context.Context, int64, string, string) (int64, error) {
 	l.end++
-	return nil
+	return 0, nil
 }
 
 // engines record how long requests to an engine had been paused when it got an order.
@@ -145,8 +145,8 @@
 
 // lostHolder is the lease log of a system whose holder was lost after it renewed the lease.
 type lostHolder struct {
-	mu  sync.Mutex
-	end int64
+	mu       sync.Mutex
+	era, end int64
 }
 
 func (l *lostHolder) setEnd(end int64) {
@@ -158,17 +158,17 @@
 func (l *lostHolder) Grant(context.Context, int64) (feed.Grant, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return feed.Grant{End: l.end, Holder: "lost", Nonce: fmt.Sprint(l.end)}, nil
+	return feed.Grant{Era: l.era, End: l.end, Holder: "lost", Nonce: fmt.Sprint(l.end)}, nil
 }
 
-func (l *lostHolder) Take(_ context.Context, at int64, _, _ string) error {
+func (l *lostHolder) Take(_ context.Context, at int64, _, _ string) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if at != l.end {
-		return feed.ErrLeaseTaken
+		return 0, feed.ErrLeaseTaken
 	}
 	l.end++
-	return nil
+	return l.era, nil
 }
 
 // newWaiting returns a runner that is a candidate for the lease of another host, and its clock.
@@ -241,13 +241,13 @@
 	return feed.Grant{End: l.end, Holder: "h", Nonce: l.nonce}, nil
 }
 
-func (l *lostAnswers) Take(_ context.Context, at int64, _, nonce string) error {
+func (l *lostAnswers) Take(_ context.Context, at int64, _, nonce string) (int64, error) {
 	if at != l.end {
-		return feed.ErrLeaseTaken
+		return 0, feed.ErrLeaseTaken
 	}
 	l.end++
 	l.nonce = nonce
-	return errors.New("no answer")
+	return 0, errors.New("no answer")
 }
 
 // The append that takes the lease over may get no answer, and a read tells that it succeeded.
@@ -272,3 +272,23 @@
 	}
 	is.True(l.reads <= 10)
 }
+
+// A restored store has lost the last grant, and its log ends where this host expects it.
+func TestLeaseTakenInANewEraIsNotUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const duration = 3 * time.Second
+	l := &lostHolder{era: 1, end: 1}
+	r, c := newWaiting(t, l, duration)
+	r.Step(ctx) // reads the grant
+	c.Advance(duration - stepInterval)
+	r.Step(ctx)
+	l.mu.Lock()
+	l.era = 2 // another host's grant is lost
+	l.mu.Unlock()
+	took := takenAfter(ctx, r, c)
+	is.True(took >= duration)
+	is.True(took <= duration+leaseSilence+2*stepInterval)
+	is.Equal(feed.GrantFrom("", r.HeldGrant()).Era, int64(2))
+}
