Register hosts again after the store was restored

A host that started after the restore did not find the others: their registrations were lost, and nobody wrote them again; those that read on from their offset could skip new ones. In a new era a host reads the registry anew, and registers again if it is not listed.

--- a/router/share/registry.go
+++ b/router/share/registry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/proto/feed"
@@ -58,7 +59,7 @@
 // Run registers this host and follows the registry until ctx ends.
 func (r *Registrar) Run(ctx context.Context) {
 	registered := r.register(ctx)
-	from := feed.Newest
+	from, era := feed.Newest, int64(0)
 	pause := firstReadDelay
 	for clock.Sleep(ctx, r.cfg.Clock, pause) == nil {
 		pause = minReadInterval
@@ -70,11 +71,20 @@
 		h, err := r.cfg.Registry.Hosts(ctx, from, wait)
 		switch {
 		case feed.IsErrTrimmed(err):
-			from = feed.Newest
+			from, pause = feed.Newest, 0
 		case err != nil:
 			r.cfg.Logger.Debug("failed to read host registry", "error", err)
+		case from != feed.Newest && h.Era > era:
+			// The offset was of an earlier era.
+			from, pause = feed.Newest, 0
 		default:
-			from = h.Next
+			if r.read.Load() && h.Era > era {
+				r.cfg.Logger.Warn("store was restored from a copy", "reads", "hosts", "era", h.Era, "era-before", era)
+			}
+			if from == feed.Newest && !lo.Contains(h.Hosts, r.cfg.Self) {
+				registered = r.register(ctx)
+			}
+			from, era = h.Next, max(era, h.Era)
 			r.addHosts(h)
 			r.read.Store(true)
 		}
