Keep odd entries among those of the endpoints out of the list

Reported by other operators: one odd entry of another writer and hosts end or stop to follow the list. Deep nesting, numbers too large and ports out of range were rejected already, and nothing ended.

--- a/core/proto/feed/feed.go
+++ b/core/proto/feed/feed.go
@@ -71,6 +71,9 @@
 	Endpoints map[string]*site.Endpoint
 	// Removed holds the IDs of entries that were removed from the list.
 	Removed []string
+	// Invalid holds the IDs of entries that can't be decoded. What is known of these
+	// endpoints holds.
+	Invalid []string
 	Faults  []error
 }
 
--- a/core/state/mirror/mirror.go
+++ b/core/state/mirror/mirror.go
@@ -115,6 +115,7 @@
 		return false
 	}
 	v.Config = c
+	v.ByService = byService(v.Endpoints, c)
 	m.view.Store(&v)
 	return true
 }
@@ -159,17 +160,21 @@
 	defer m.mu.Unlock()
 	v := *m.view.Load()
 	v.Endpoints = all
-	v.ByService = byService(all)
+	v.ByService = byService(all, v.Config)
 	v.EndpointsRead = true
 	m.view.Store(&v)
 }
 
 // byService groups the endpoints that accept requests by service. Of several
 // incarnations at one address it uses only the youngest, since the older ones
-// can no longer be running.
-func byService(all map[string]*site.Endpoint) map[string][]*site.Endpoint {
+// can no longer be running. Entries of services that the configuration does not have come
+// from other writers.
+func byService(all map[string]*site.Endpoint, config *site.Config) map[string][]*site.Endpoint {
 	youngest := make(map[string]*site.Endpoint, len(all))
 	for _, e := range all {
+		if config != nil && config.Services[e.Service] == nil {
+			continue
+		}
 		address := e.Address.String()
 		if other, ok := youngest[address]; !ok || e.Started.After(other.Started) {
 			youngest[address] = e
--- a/router/watch/endpoints.go
+++ b/router/watch/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"cicadastand.dev/core/proto/feed"
@@ -70,7 +71,7 @@
 	}
 	if e.Complete {
 		for id := range l.entries {
-			if e.Endpoints[id] == nil {
+			if e.Endpoints[id] == nil && !slices.Contains(e.Invalid, id) {
 				l.removed[id] = true
 			}
 		}
