Match an engine's rejection to its request

Reported by other operators: a faulty engine wrote an earlier rejection once more on a kept connection. In the product's own mode it did: only responses with status 200 were matched, so callers were told not-run of a request that the engine ran, and it was sent to a second one.

The stand-in engine names the request in its rejections, as the interface has it for responses.

--- a/router/send/attempt.go
+++ b/router/send/attempt.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -77,6 +78,8 @@
 	export int
 	// incarnation is the one that has to run the request; empty if none is known.
 	incarnation string
+	// reused is set if the request was sent on a connection that others had used.
+	reused bool
 }
 
 func (a *attempt) fail(f fault, err error) error {
@@ -97,6 +100,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
+		if !a.isRejectionOf(resp.Header) {
+			a.d.dropped.Inc()
+			return a.fail(faultMismatch, fmt.Errorf("rejection with status %d belongs to another request", resp.StatusCode))
+		}
 		a.recordIncarnation(resp.Header)
 		return a.statusError(resp)
 	}
@@ -119,6 +126,7 @@
 		path = "/v1/completions"
 	}
 	url := "http://" + a.e.Address.String() + path
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { a.reused = c.Reused }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(a.r.job.body))
 	if err != nil {
 		return nil, a.fail(faultInvalid, fmt.Errorf("make request: %w", err))
@@ -207,6 +215,16 @@
 	}
 }
 
+// isRejectionOf reports whether a rejection belongs to this attempt. A faulty engine may
+// repeat an earlier one on a kept connection, so only the first response on a connection is
+// taken without an ID.
+func (a *attempt) isRejectionOf(h http.Header) bool {
+	if id := h.Get(engine.HeaderRequestID); id != "" || a.reused {
+		return id == a.r.job.ID && h.Get(engine.HeaderAttempt) == strconv.Itoa(a.r.result.Sends)
+	}
+	return true
+}
+
 // checkIdentity verifies that the response belongs to this attempt and comes from
 // the expected incarnation and weights version.
 func (a *attempt) checkIdentity(h http.Header) error {
--- a/stand/engine/serve.go
+++ b/stand/engine/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"time"
@@ -61,6 +62,7 @@
 		if e.isDown() {
 			panic(http.ErrAbortHandler)
 		}
+		setRequestID(w.Header(), r.Header)
 		if e.faults.TakeRejection() {
 			http.Error(w, "the engine refuses", http.StatusServiceUnavailable)
 			return
@@ -86,6 +88,12 @@
 			panic(http.ErrAbortHandler)
 		}
 		e.faults.Delay(r)
+		if e.faults.TakeCopiedRejection() {
+			e.execute(httptest.NewRecorder(), r, j)
+			w.Header().Set(engine.HeaderRequestID, "another-request")
+			http.Error(w, "the engine refuses", http.StatusServiceUnavailable)
+			return
+		}
 		e.execute(w, r, j)
 	}
 }
@@ -212,11 +220,16 @@
 	return nil
 }
 
+// setRequestID names the request and the attempt that a response belongs to.
+func setRequestID(response, request http.Header) {
+	response.Set(engine.HeaderRequestID, request.Get(engine.HeaderRequestID))
+	response.Set(engine.HeaderAttempt, request.Get(engine.HeaderAttempt))
+}
+
 func (e *Engine) writeHeader(w http.ResponseWriter, j *job) {
 	h := w.Header()
 	h.Set("Content-Type", "text/event-stream")
-	h.Set(engine.HeaderRequestID, j.header.Get(engine.HeaderRequestID))
-	h.Set(engine.HeaderAttempt, j.header.Get(engine.HeaderAttempt))
+	setRequestID(h, j.header)
 	if j.swapped {
 		h.Set(engine.HeaderRequestID, "another-request")
 	}
--- a/stand/fault/fault.go
+++ b/stand/fault/fault.go
@@ -33,6 +33,9 @@
 	SkipEvent int `json:"skip-event"`
 	// SwapNext is the number of next calls that get the response to another request.
 	SwapNext int `json:"cross-next"`
+	// CopyRejectionNext is the number of next calls that take effect and get a copy of the
+	// rejection of another request.
+	CopyRejectionNext int `json:"copy-refusal-next"`
 	// IgnoreExpectations executes requests even if the incarnation or weights version
 	// that they expect differs.
 	IgnoreExpectations bool `json:"ignore-expectations"`
@@ -101,6 +104,14 @@
 	return takeOne(&i.active.SwapNext)
 }
 
+// TakeCopiedRejection reports whether this call gets a copy of a rejection, and counts down
+// CopyRejectionNext.
+func (i *Injector) TakeCopiedRejection() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return takeOne(&i.active.CopyRejectionNext)
+}
+
 // Delay waits for DelayMs, or until the request is canceled.
 func (i *Injector) Delay(r *http.Request) {
 	wait := time.Duration(i.Get().DelayMs) * time.Millisecond
