End a long read of the host registry when the store was restored

TestHostsRegisterAgainAfterARestore failed once in a run of all tests: a new host did not find another within 10 s. Traced: a host that read on from the offset at which the log of the new era happened to end waited 30 s for a record, and learnt of the era only then. With records of others at the reused offsets (now in the test, 0 to 3 of them) it fails each time for one of them.

The host learns of the era by its reads of the configuration and ends the wait.

--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -248,6 +248,7 @@
 		Clock:    cfg.Clock,
 		Self:     self,
 		Registry: cfg.Platform.Source,
+		Restored: h.watch.Restored(),
 		Hubs:     h.hubs,
 		SetHosts: retryBudget.SetHosts,
 		Logger:   cfg.Logger,
--- a/router/hosted/restore_test.go
+++ b/router/hosted/restore_test.go
@@ -158,8 +158,15 @@
 	}
 }
 
-// The registrations of hosts are lost; a host that starts afterwards finds all others.
+// The registrations of hosts are lost; a host that starts afterwards finds all others. Other
+// records may be at the offsets that hosts have read, so that their reads wait.
 func TestHostsRegisterAgainAfterARestore(t *testing.T) {
+	for _, others := range []int{0, 1, 2, 3} {
+		t.Run(fmt.Sprint(others, " other records"), func(t *testing.T) { testRegisterAgain(t, others) })
+	}
+}
+
+func testRegisterAgain(t *testing.T, others int) {
 	is := is.New(t)
 	c := newCluster(t, 2)
 	c.revokeTime = 5 * time.Second
@@ -172,9 +179,14 @@
 	c.restoreStore(before, func() {
 		c.putEndpoint("i-1", "shop", "zone-0", "ready", 2)
 		c.putConfig(1, "key")
+		for range others {
+			c.put("keyed.cicada-hosts", "other", map[string]any{"name": "other", "failure-domain": "zone-9", "address": "127.0.0.1:9"})
+		}
 	})
 	c.hostCount = 3
 	c.startHosts()
-	c.eventually("new host knows all others", func() bool { return c.hosts[2].log.count("host registered") >= 2 })
+	for _, h := range []string{"host-0", "host-1"} {
+		c.eventually("new host knows "+h, func() bool { return c.hosts[2].log.count("host="+h) >= 1 })
+	}
 	is.True(c.serves("key"))
 }
--- a/router/share/registry.go
+++ b/router/share/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	Self     feed.Host
 	Registry Registry
 	Hubs     *hubs.Table
+	// Restored is signalled when the store was restored from a copy. Reads wait for long, and
+	// for records that may never come at offsets of an earlier era.
+	Restored <-chan struct{}
 	// SetHosts receives the number of hosts that have ever registered.
 	SetHosts func(hosts int)
 	Logger   hclog.Logger
@@ -68,9 +72,9 @@
 			registered = r.register(ctx)
 			wait = 0
 		}
-		h, err := r.cfg.Registry.Hosts(ctx, from, wait)
+		h, err := r.hosts(ctx, from, wait)
 		switch {
-		case feed.IsErrTrimmed(err):
+		case feed.IsErrTrimmed(err), errors.Is(err, errRestored):
 			from, pause = feed.Newest, 0
 		case err != nil:
 			r.cfg.Logger.Debug("failed to read host registry", "error", err)
@@ -91,6 +95,42 @@
 	}
 }
 
+// errRestored reports a read that was ended because the store was restored.
+var errRestored = errors.New("store was restored")
+
+// hosts reads the registry. It returns errRestored if the store was restored meanwhile.
+func (r *Registrar) hosts(ctx context.Context, from int64, wait time.Duration) (feed.Hosts, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &restoreWait{restored: r.cfg.Restored, cancel: cancel, done: make(chan struct{})}
+	go w.run(ctx)
+	h, err := r.cfg.Registry.Hosts(ctx, from, wait)
+	cancel()
+	<-w.done
+	if w.signalled {
+		return feed.Hosts{}, errRestored
+	}
+	return h, err
+}
+
+// restoreWait ends a read when the store was restored.
+type restoreWait struct {
+	restored <-chan struct{}
+	cancel   context.CancelFunc
+	// signalled is set before done is closed.
+	signalled bool
+	done      chan struct{}
+}
+
+func (w *restoreWait) run(ctx context.Context) {
+	defer close(w.done)
+	select {
+	case <-w.restored:
+		w.signalled = true
+		w.cancel()
+	case <-ctx.Done():
+	}
+}
+
 func (r *Registrar) register(ctx context.Context) bool {
 	err := r.cfg.Registry.Register(ctx, r.cfg.Self)
 	if err != nil {
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -108,6 +108,8 @@
 	// newRecords is signalled when another host has read newer records of the
 	// operator than this host has.
 	newRecords chan struct{}
+	// eras is signalled when this host learns that the store was restored.
+	eras chan struct{}
 
 	mu        sync.Mutex
 	published readMark
@@ -144,6 +146,7 @@
 		failures:    cfg.Metrics.NewCounter("cicada_store_read_failures_total"),
 		reads:       cfg.Metrics.NewCounter("cicada_store_reads_total"),
 		newRecords:  make(chan struct{}, 1),
+		eras:        make(chan struct{}, 1),
 		records:     make(map[string][]byte),
 		endpoints:   newEndpointList(),
 		published:   readMark{received: neverReceived},
@@ -151,6 +154,9 @@
 	}
 }
 
+// Restored is signalled when this host learns that the store was restored.
+func (w *Watcher) Restored() <-chan struct{} { return w.eras }
+
 // shouldRead reports whether this host reads the store itself. interval is the time
 // between the reads of a host that reads for others. A hub reads while it receives no
 // recent read of another host, whatever it has read itself.
@@ -280,6 +286,10 @@
 	}
 	if restored {
 		w.cfg.Logger.Warn("store was restored from a copy", "reads", "configuration", "era", read.Era, "next", read.Next, "era-before", known.Era, "next-before", known.Next)
+		select {
+		case w.eras <- struct{}{}:
+		default:
+		}
 	}
 	if known.known && read.Precedes(known.ReadMark) {
 		w.cfg.Logger.Info("ignored read of the operator's records that ends before the known one", "era", read.Era, "next", read.Next, "known-era", known.Era, "known-next", known.Next)
