Forward only the next events of a stream

Reported by other operators: a stream broke off, the next engine answered with an error, and clients found its text or head in their stream, or the stream looked complete. A 2xx was forwarded whatever its body was, text without an ID passed as an event, and a continuation without any event ended the stream as complete.

Each event needs the ID after the last one, the first one too. A continuation needs the type of body of the stream; without events it is complete only if it is framed and the stream was not broken off inside an event.

--- a/router/conns/conns.go
+++ b/router/conns/conns.go
@@ -135,7 +135,10 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not known.
-	Length     int64
+	Length int64
+	// Unframed is set if the body ends with its connection, so that nothing tells a whole
+	// body from a part of it.
+	Unframed   bool
 	pool       *Pool
 	cc         *clientConn
 	resp       *http.Response
@@ -175,7 +178,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, pool: p, cc: cc, resp: resp, stopCancel: stopCancel}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, pool: p, cc: cc, resp: resp, stopCancel: stopCancel}, nil
 }
 
 func encode(req Request) []byte {
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -67,8 +67,13 @@
 	// lastResponse is an error response that is forwarded if no retry succeeds.
 	lastResponse *response
 	// started is set once a part of the response was sent to the client.
-	started   bool
-	lastEvent int
+	started bool
+	// lastEvent is the ID of the last event that was sent to the client, and streamType the
+	// content type of the stream.
+	lastEvent  int
+	streamType string
+	// partial is set if the last response broke off inside an event.
+	partial bool
 	// permitWaited is how long the request waited within endpoints' request limits.
 	permitWaited time.Duration
 
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -24,6 +24,7 @@
 	errEventSize      = errors.New("event is too large")
 	errEventTruncated = errors.New("stream ends inside an event")
 	errEventOrder     = errors.New("event is out of order")
+	errEventID        = errors.New("event has no ID")
 )
 
 // eventReader splits a stream of server-sent events into events.
@@ -81,9 +82,15 @@
 	return 0, false
 }
 
+// isPartial reports whether the stream ended inside an event.
+func (e *eventReader) isPartial() bool { return len(e.buf) > 0 }
+
 // stream forwards events as they are received. If the endpoint disconnects and the
 // route allows it, a retry resumes the stream after the last event.
 func (j *job) stream(ctx context.Context, c choice, resp *conns.Response, tracked *load.Request, sent time.Time) (retry bool, fault *rejection) {
+	if j.started && resp.Header.Get("Content-Type") != j.streamType {
+		return j.recordPossibleCrash(fmt.Sprintf("endpoint %s continued the stream with a body of type %q", c.endpoint.ID, resp.Header.Get("Content-Type")))
+	}
 	source := &eventReader{src: resp}
 	first := true
 	for {
@@ -92,15 +99,21 @@
 			if first {
 				j.suspectCrash(c, err)
 			}
-			return j.endStream(first, c)
+			return j.endStream(first && (!j.started || j.partial || resp.Unframed), c)
 		}
 		if err != nil {
 			if ctx.Err() != nil {
 				return false, errTimeout
 			}
+			j.partial = source.isPartial()
 			j.suspectCrash(c, err)
 			return j.recordPossibleCrash(fmt.Sprintf("endpoint %s broke off after event %d: %v", c.endpoint.ID, j.lastEvent, err))
 		}
+		if err := j.checkEvent(event); err != nil {
+			// What was sent instead of an event may also have cut one off.
+			j.partial = true
+			return j.recordPossibleCrash(fmt.Sprintf("endpoint %s: %v", c.endpoint.ID, err))
+		}
 		if first {
 			first = false
 			tracked.MarkRunning()
@@ -109,17 +122,15 @@
 			j.recordSound()
 		}
 		if err := j.writeEvent(resp, event); err != nil {
-			if errors.Is(err, errEventOrder) {
-				return j.recordPossibleCrash(fmt.Sprintf("endpoint %s: %v", c.endpoint.ID, err))
-			}
 			return false, newRejection(http.StatusBadGateway, 0, "client did not take event: %v", err)
 		}
 	}
 }
 
-// endStream records the result of a stream that the endpoint sent to its end.
-func (j *job) endStream(empty bool, c choice) (retry bool, fault *rejection) {
-	if empty && !j.started {
+// endStream records the result of a stream that the endpoint sent to its end. missing is set
+// if it sent no event though there must be one.
+func (j *job) endStream(missing bool, c choice) (retry bool, fault *rejection) {
+	if missing {
 		return j.recordPossibleCrash(fmt.Sprintf("endpoint %s sent no event", c.endpoint.ID))
 	}
 	j.outcome = "200"
@@ -140,17 +151,27 @@
 	j.r.prefill.observe(j.serviceName, c.endpoint.ID, c.tokensAhead+c.prefillTokens, j.r.cfg.Clock.Now().Sub(sent))
 }
 
+// checkEvent checks that an event is the next one of the stream. A faulty endpoint may send
+// other text, such as the head of another response.
+func (j *job) checkEvent(event []byte) error {
+	id, ok := eventID(event)
+	if !ok {
+		return errEventID
+	}
+	last := max(j.lastEvent, j.params.LastEvent)
+	if id != last+1 {
+		return fmt.Errorf("event %d follows %d: %w", id, last, errEventOrder)
+	}
+	j.lastEvent = id
+	return nil
+}
+
 // writeEvent forwards one event to the client, after the response header if it is
 // the first event.
 func (j *job) writeEvent(resp *conns.Response, event []byte) error {
-	if id, ok := eventID(event); ok {
-		if j.started && id != j.lastEvent+1 {
-			return fmt.Errorf("event %d follows %d: %w", id, j.lastEvent, errEventOrder)
-		}
-		j.lastEvent = id
-	}
 	if !j.started {
 		j.started = true
+		j.streamType = resp.Header.Get("Content-Type")
 		h := j.w.Header()
 		closing := h.Get("Connection")
 		j.r.cfg.Codec.CopyHeader(h, resp.Header)
