Send nothing to endpoints that say in a response that they leave

What a response says is now kept for the incarnation, whatever its entry or peers say, until it starts again. Invalid values change nothing and are logged.

--- a/core/proto/call/call.go
+++ b/core/proto/call/call.go
@@ -91,6 +91,10 @@
 	// hosts together, for as long as its responses name it.
 	RequestLimit    float64
 	HasRequestLimit bool
+	// Leaving is set if the endpoint is draining.
+	Leaving bool
+	// Wait is how long the endpoint wants no requests from this host; 0 if it does not say.
+	Wait time.Duration
 	// Faults holds an error for each invalid value. The other fields don't include it.
 	Faults []error
 }
--- a/core/state/mirror/mirror.go
+++ b/core/state/mirror/mirror.go
@@ -68,14 +68,16 @@
 //
 // Lock order: Mirror.mu is a leaf.
 type Mirror struct {
-	mu           sync.Mutex
+	mu sync.Mutex
+	// leaving holds when the incarnations started that said that they are draining.
+	leaving      map[string]time.Time
 	view         atomic.Pointer[View]
 	configReadAt atomic.Int64
 }
 
 // New returns an empty mirror.
 func New() *Mirror {
-	m := &Mirror{}
+	m := &Mirror{leaving: make(map[string]time.Time)}
 	m.view.Store(&View{Endpoints: map[string]*site.Endpoint{}, ByService: map[string][]*site.Endpoint{}, Weights: map[string][]WeightsVersion{}})
 	m.configReadAt.Store(-1)
 	return m
@@ -115,7 +117,7 @@
 		return false
 	}
 	v.Config = c
-	v.ByService = byService(v.Endpoints, c)
+	v.ByService = m.byService(v.Endpoints, c)
 	m.view.Store(&v)
 	return true
 }
@@ -160,16 +162,47 @@
 	defer m.mu.Unlock()
 	v := *m.view.Load()
 	v.Endpoints = all
-	v.ByService = byService(all, v.Config)
+	v.ByService = m.byService(all, v.Config)
 	v.EndpointsRead = true
 	m.view.Store(&v)
 }
 
+// maxLeaving bounds the endpoints that are remembered as leaving. Entries of those that are
+// gone may come back late, so they are not forgotten with their entry.
+const maxLeaving = 4096
+
+// MarkLeaving records that an incarnation of an endpoint has said that it is draining, and
+// reports whether that was not known. It holds whatever its entry says, until the endpoint
+// starts again.
+func (m *Mirror) MarkLeaving(endpoint string, started time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at, ok := m.leaving[endpoint]; ok && !started.After(at) {
+		return false
+	}
+	v := *m.view.Load()
+	if len(m.leaving) >= maxLeaving {
+		maps.DeleteFunc(m.leaving, func(id string, _ time.Time) bool { return v.Endpoints[id] == nil })
+	}
+	m.leaving[endpoint] = started
+	known := v.Endpoints[endpoint]
+	v.ByService = m.byService(v.Endpoints, v.Config)
+	m.view.Store(&v)
+	return known == nil || !known.Draining
+}
+
+// isDraining reports whether an endpoint drains by its entry or by what it has said; the
+// caller holds the lock.
+func (m *Mirror) isDraining(e *site.Endpoint) bool {
+	at, said := m.leaving[e.ID]
+	return e.Draining || said && !e.Started.After(at)
+}
+
 // byService groups the endpoints that accept requests by service. Of several
 // incarnations at one address it uses only the youngest, since the older ones
 // can no longer be running. Entries of services that the configuration does not have come
-// from other writers.
-func byService(all map[string]*site.Endpoint, config *site.Config) map[string][]*site.Endpoint {
+// from other writers. The caller holds the lock.
+func (m *Mirror) byService(all map[string]*site.Endpoint, config *site.Config) map[string][]*site.Endpoint {
 	youngest := make(map[string]*site.Endpoint, len(all))
 	for _, e := range all {
 		if config != nil && config.Services[e.Service] == nil {
@@ -182,7 +215,7 @@
 	}
 	out := make(map[string][]*site.Endpoint)
 	for _, e := range youngest {
-		if !e.Draining {
+		if !m.isDraining(e) {
 			out[e.Service] = append(out[e.Service], e)
 		}
 	}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -51,8 +51,8 @@
 		return j.sendFailed(ctx, c, err)
 	}
 	defer resp.Close()
-	decoded := r.cfg.Codec.DecodeResponse(resp.Header)
-	j.recordNotice(c.endpoint.ID, resp, decoded, asked)
+	decoded := r.cfg.Codec.DecodeResponse(resp.Status, resp.Header)
+	j.recordNotice(c.endpoint, resp, decoded, asked)
 	return j.receive(ctx, c, resp, decoded, tracked, sent)
 }
 
@@ -95,7 +95,7 @@
 // isResponseTo reports whether a response belongs to the request with an ID. A response
 // without an ID is accepted as the first one on a connection.
 func (j *job) isResponseTo(h http.Header, id string, reused bool) bool {
-	got := j.r.cfg.Codec.DecodeResponse(h).ID
+	got := j.r.cfg.Codec.ResponseID(h)
 	return got == id || got == "" && !reused
 }
 
--- a/router/relay/notice.go
+++ b/router/relay/notice.go
@@ -5,20 +5,24 @@
 	"time"
 
 	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/core/state/site"
 	"cicadastand.dev/router/conns"
 )
 
 // recordNotice records what a response to a request sent at asked says of its endpoint.
 // Responses that may come from another process at that address say nothing.
-func (j *job) recordNotice(endpoint string, resp *conns.Response, decoded call.Response, asked time.Duration) {
+func (j *job) recordNotice(e *site.Endpoint, resp *conns.Response, decoded call.Response, asked time.Duration) {
 	if resp.Status == http.StatusMisdirectedRequest || !decoded.Sealed && !decoded.NotRun {
 		return
 	}
 	r := j.r
 	for _, fault := range decoded.Notice.Faults {
-		r.cfg.Logger.Warn("ignored invalid header of endpoint's response", "id", j.params.ID, "endpoint", endpoint, "error", fault)
+		r.cfg.Logger.Warn("ignored invalid header of endpoint's response", "id", j.params.ID, "endpoint", e.ID, "error", fault)
 	}
-	j.recordRequestLimit(endpoint, decoded, asked)
+	if decoded.Notice.Leaving && r.cfg.Mirror.MarkLeaving(e.ID, e.Started) {
+		r.cfg.Logger.Info("endpoint said that it is leaving", "id", j.params.ID, "endpoint", e.ID)
+	}
+	j.recordRequestLimit(e.ID, decoded, asked)
 }
 
 func (j *job) recordRequestLimit(endpoint string, decoded call.Response, asked time.Duration) {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -32,8 +32,10 @@
 	Request(h http.Header) call.Request
 	// Forward returns the header of the request to an endpoint.
 	Forward(client http.Header, a call.Attempt) http.Header
-	// DecodeResponse decodes the header of an endpoint's response.
-	DecodeResponse(h http.Header) call.Response
+	// ResponseID returns the ID of the request that a response belongs to.
+	ResponseID(h http.Header) string
+	// DecodeResponse decodes the status and header of an endpoint's response.
+	DecodeResponse(status int, h http.Header) call.Response
 	// CopyHeader copies the header of an endpoint's response to the client's.
 	CopyHeader(to, endpoint http.Header)
 }
