Keep the waits that endpoints ask for with a 503

An endpoint's Retry-After was dropped: it got requests again after 150 ms, and clients were told to come back after 0.3 or 1 s. Now the endpoint gets nothing from that host until the end of the wait, extended by up to a quarter, then one request at a time, and more with each one that is served. Of two waits the later end holds; a restart of the endpoint ends it. If all endpoints of a service ask for a wait, clients are told a time that is no shorter.

TestEndpointThatAsksForAWaitGetsNothing and TestClientsAreToldToWaitAsLongAsAllEndpoints failed before.

--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
+	"cicadastand.dev/core/coord/avoid"
 	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/coord/eject"
 	"cicadastand.dev/core/coord/hubs"
@@ -142,6 +143,7 @@
 	ejection   *eject.Table
 	pauses     *pause.Table
 	pace       *pace.Table
+	avoid      *avoid.Table
 	taint      *taint.Table
 	conns      *conns.Pool
 	relay      *relay.Relay
@@ -170,6 +172,7 @@
 		ejection:   eject.New(ejectConfig),
 		pauses:     pause.New(),
 		pace:       pace.New(),
+		avoid:      avoid.New(),
 		metrics:    metrics.NewSet(),
 	}
 	suspects := poison.New(poison.Config{Retention: suspectRetention})
@@ -199,6 +202,7 @@
 		Ejection:         h.ejection,
 		Pauses:           h.pauses,
 		Pace:             h.pace,
+		Avoid:            h.avoid,
 		Budget:           retryBudget,
 		Poison:           suspects,
 		Taint:            h.taint,
@@ -348,6 +352,7 @@
 			h.cacheIndex.Retain(func(id string) bool { return known(id) || isCacheStore(view.Config, id) })
 			h.ejection.Retain(known)
 			h.pace.Retain(known)
+			h.avoid.Retain(known, h.cfg.Clock.Boot())
 			h.relay.Prune(known)
 			h.relay.PruneCrashes(known)
 			h.taint.Sweep(h.cfg.Clock.Boot())
--- a/router/hosted/notice_test.go
+++ b/router/hosted/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -71,6 +72,68 @@
 	}
 }
 
+// An endpoint rejects a request and asks for a wait. Requests go elsewhere, and come back
+// little by little.
+func TestEndpointThatAsksForAWaitGetsNothing(t *testing.T) {
+	for path, service := range endpointPaths {
+		t.Run(path[1:len(path)-1], func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, 1)
+			c.revokeTime = 5 * time.Second
+			busy, other := c.startTwo(service)
+			reached := make(chan time.Time, 1000)
+			busy.SetBehavior(func(*http.Request) server.Behavior {
+				reached <- time.Now()
+				return server.Reject
+			})
+			busy.SetNotice("Retry-After", "1.5")
+			c.startServing()
+			load := c.startLoad(c.hosts[0], "r", "POST", path, 10*time.Millisecond, 100)
+			time.Sleep(4 * time.Second) // two waits
+			statuses := load.end()
+			t.Log(statuses)
+			is.Equal(len(statuses), 1) // the other endpoint serves them
+			is.True(statuses[http.StatusOK] > 0)
+			close(reached)
+			var last time.Time
+			count, waits := 0, 0
+			for at := range reached {
+				if at.Sub(last) > time.Second {
+					waits++
+					count = 0
+				}
+				if count++; at.Sub(last) < 1400*time.Millisecond {
+					is.True(at.Sub(last) < 100*time.Millisecond) // had been sent before the rejection
+					is.True(waits == 1)                          // after a wait, one request at a time
+				}
+				last = at
+			}
+			is.True(waits >= 2 && waits <= 4)
+			is.True(len(other.Runs()) > 100)
+		})
+	}
+}
+
+// If all endpoints ask for a wait, clients are told a time that is no shorter.
+func TestClientsAreToldToWaitAsLongAsAllEndpoints(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	for id, wait := range map[string]string{"i-1": "9", "i-2": "30"} {
+		e := c.startEndpoint(id, "shop", "zone-0", server.Config{})
+		e.SetBehavior(func(*http.Request) server.Behavior { return server.Reject })
+		e.SetNotice("Retry-After", wait)
+	}
+	c.startServing()
+	for n := range 4 {
+		got := c.send(c.hosts[0], "POST", "/order/", fmt.Sprint("r", n), "key", "x")
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after > 7 && after <= 10) // the first of the two ends, and its extension
+	}
+}
+
 // Values that can't be right change nothing.
 func TestInvalidNoticesChangeNothing(t *testing.T) {
 	is := is.New(t)
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"cicadastand.dev/core/coord/avoid"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/shed"
 	"cicadastand.dev/core/proto/call"
@@ -28,15 +29,11 @@
 	if err := j.checkParts(); err != nil {
 		return false, newRejection(http.StatusServiceUnavailable, 0, "%v", err)
 	}
-	c, fault := j.choose(ctx)
+	c, begun, fault := j.begin(ctx)
 	if fault != nil {
 		return false, fault
 	}
-	j.chosen = c
-	if fault := j.checkChoice(c); fault != nil {
-		j.returnPermit(c)
-		return false, fault
-	}
+	defer begun.Done()
 	timeout := max(time.Millisecond, j.clientDeadline.Sub(r.cfg.Clock.Now()))
 	j.sends++
 	j.attempts++
@@ -53,7 +50,31 @@
 	defer resp.Close()
 	decoded := r.cfg.Codec.DecodeResponse(resp.Status, resp.Header)
 	j.recordNotice(c.endpoint, resp, decoded, asked)
-	return j.receive(ctx, c, resp, decoded, tracked, sent)
+	return j.receive(ctx, c, resp, decoded, begun, tracked, sent)
+}
+
+// maxChoices is how often an endpoint is chosen while other requests take the place at the
+// chosen ones.
+const maxChoices = 3
+
+// begin chooses an endpoint to which the request may be sent now.
+func (j *job) begin(ctx context.Context) (choice, *avoid.Request, *rejection) {
+	for range maxChoices {
+		c, fault := j.choose(ctx)
+		if fault != nil {
+			return choice{}, nil, fault
+		}
+		j.chosen = c
+		if fault := j.checkChoice(c); fault != nil {
+			j.returnPermit(c)
+			return choice{}, nil, fault
+		}
+		if begun, ok := j.r.cfg.Avoid.Begin(c.endpoint.ID, c.endpoint.Started, j.r.cfg.Clock.Boot()); ok {
+			return c, begun, nil
+		}
+		j.returnPermit(c)
+	}
+	return choice{}, nil, j.rejectBusy("endpoints of %s take few requests after their waits", j.serviceName)
 }
 
 // checkChoice returns a rejection if the request must not be sent to its endpoint.
@@ -160,7 +181,7 @@
 }
 
 // receive handles an endpoint's response.
-func (j *job) receive(ctx context.Context, c choice, resp *conns.Response, decoded call.Response, tracked *load.Request, sent time.Time) (retry bool, fault *rejection) {
+func (j *job) receive(ctx context.Context, c choice, resp *conns.Response, decoded call.Response, begun *avoid.Request, tracked *load.Request, sent time.Time) (retry bool, fault *rejection) {
 	r := j.r
 	if decoded.NotRun || resp.Status == http.StatusMisdirectedRequest {
 		j.discardBody(resp)
@@ -169,8 +190,9 @@
 		}
 		j.attempts--
 		r.cfg.Ejection.RecordRejection(c.endpoint.ID, r.cfg.Clock.Boot(), rejectionPause)
-		return true, newRejection(http.StatusServiceUnavailable, retryAfterBusy, "endpoint %s did not run the request: status %d", c.endpoint.ID, resp.Status)
+		return true, j.rejectBusy("endpoint %s did not run the request: status %d", c.endpoint.ID, resp.Status)
 	}
+	begun.Served()
 	if j.r.cfg.Ejection.RecordSuccess(c.endpoint.ID) {
 		j.r.cfg.Logger.Info("endpoint responds again, ejection ended", "id", j.params.ID, "endpoint", c.endpoint.ID)
 	}
--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -58,7 +57,9 @@
 	all := view.ByService[j.serviceName]
 	untried := lo.Filter(all, func(e *site.Endpoint, _ int) bool { return !j.tried[e.ID] })
 	if len(untried) == 0 {
-		return choice{}, newRejection(http.StatusServiceUnavailable, retryAfterNoEndpoint, "no endpoint of %s is left, %d are listed", j.serviceName, len(all))
+		fault := j.rejectBusy("no endpoint of %s is left, %d are listed", j.serviceName, len(all))
+		fault.retryAfter = max(fault.retryAfter, retryAfterNoEndpoint)
+		return choice{}, fault
 	}
 	usable := untried
 	if j.isModel() {
@@ -67,6 +68,10 @@
 		}
 	}
 	now := r.cfg.Clock.Boot()
+	usable = lo.Filter(usable, func(e *site.Endpoint, _ int) bool { return r.cfg.Avoid.MaySend(e.ID, e.Started, now) })
+	if len(usable) == 0 {
+		return choice{}, j.rejectBusy("all usable endpoints of %s asked for a wait", j.serviceName)
+	}
 	list := lo.Filter(usable, func(e *site.Endpoint, _ int) bool {
 		return !r.cfg.Pauses.Paused(e.ID, now) && !r.cfg.Ejection.Ejected(e.ID, now)
 	})
--- a/router/relay/notice.go
+++ b/router/relay/notice.go
@@ -22,6 +22,11 @@
 	if decoded.Notice.Leaving && r.cfg.Mirror.MarkLeaving(e.ID, e.Started) {
 		r.cfg.Logger.Info("endpoint said that it is leaving", "id", j.params.ID, "endpoint", e.ID)
 	}
+	if wait := decoded.Notice.Wait; wait > 0 {
+		now := r.cfg.Clock.Boot()
+		until := r.cfg.Avoid.Record(e.ID, e.Started, now, wait)
+		r.cfg.Logger.Info("endpoint asked for a wait", "id", j.params.ID, "endpoint", e.ID, "wait-ms", wait.Milliseconds(), "until-ms", (until - now).Milliseconds())
+	}
 	j.recordRequestLimit(e.ID, decoded, asked)
 }
 
--- a/router/relay/permit.go
+++ b/router/relay/permit.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// maxPermitChoices is how often an endpoint is chosen while other requests use the
-	// last permits of the chosen ones.
-	maxPermitChoices = 3
 	// permitWaitShare is the part of a request's target latency for which a request of the
 	// most urgent rank waits for a permit; for each rank below it is that part of the wait
 	// above. Permits that urgent requests have reserved are not there for others, so that
@@ -52,7 +49,7 @@
 	if j.isShortPrompt() {
 		age = pace.SpareAge
 	}
-	for range maxPermitChoices {
+	for range maxChoices {
 		now := r.cfg.Clock.Boot()
 		share := j.demandShare(now)
 		mayTake := func(age time.Duration) []*site.Endpoint {
--- a/router/relay/reject.go
+++ b/router/relay/reject.go
@@ -34,6 +34,22 @@
 	return newRejection(http.StatusServiceUnavailable, retryAfterOldWeights, format, args...)
 }
 
+// rejectBusy returns the rejection of a request that endpoints did not take. The client is
+// told to come back when one may: at the earliest when the first wait ends, if all endpoints
+// of the service asked for one.
+func (j *job) rejectBusy(format string, args ...any) *rejection {
+	now := j.r.cfg.Clock.Boot()
+	all := j.r.cfg.Mirror.View().ByService[j.serviceName]
+	left := retryAfterBusy
+	for i, e := range all {
+		wait := j.r.cfg.Avoid.Left(e.ID, e.Started, now)
+		if i == 0 || wait < left {
+			left = wait
+		}
+	}
+	return newRejection(http.StatusServiceUnavailable, max(left, retryAfterBusy), format, args...)
+}
+
 // reject writes an error response for a request that was not forwarded or failed.
 func (j *job) reject(e *rejection) {
 	j.outcome = strconv.Itoa(e.status)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
+	"cicadastand.dev/core/coord/avoid"
 	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/coord/eject"
 	"cicadastand.dev/core/coord/load"
@@ -64,6 +65,8 @@
 	Pauses     *pause.Table
 	// Pace holds the request limits that endpoints name.
 	Pace *pace.Table
+	// Avoid holds the endpoints that asked to get no requests for a time.
+	Avoid *avoid.Table
 	// PlacementUpdates sends the other hosts the placements that they would not expect.
 	PlacementUpdates *kvmap.Outbox
 	Budget           *budget.Tracker
