--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -109,10 +109,13 @@
 		Target:             j.route.TargetLatency,
 		Remaining:          j.deadline.Sub(now),
 		Started:            j.started,
-		Jitter:             float64(j.fingerprint[0]) / 256,
+		Jitter:             j.jitter(),
 	}
 }
 
+// jitter returns a number from 0 to 1 that differs between requests.
+func (j *job) jitter() float64 { return float64(j.fingerprint[0]) / 256 }
+
 // isResponseTo reports whether a response belongs to the request with an ID. A response
 // without an ID is accepted as the first one on a connection.
 func (j *job) isResponseTo(h http.Header, id string, reused bool) bool {
--- a/router/relay/permit.go
+++ b/router/relay/permit.go
@@ -80,7 +80,7 @@
 	next := lo.MinBy(list, func(a, b *site.Endpoint) bool { return wait(a) < wait(b) })
 	after, ok := r.cfg.Pace.Reserve(next.ID, share, now, j.permitWait())
 	if !ok {
-		return choice{}, newRejection(http.StatusServiceUnavailable, after, "the request limits of %d endpoints of %s are reached, the next permit is issued in %d ms", len(list), j.serviceName, after.Milliseconds())
+		return choice{}, newRejection(http.StatusServiceUnavailable, after+j.spread(retryAfterBusy), "the request limits of %d endpoints of %s are reached, the next permit is issued in %d ms", len(list), j.serviceName, after.Milliseconds())
 	}
 	j.permitWaited += after
 	if err := clock.Sleep(ctx, r.cfg.Clock, after); err != nil {
@@ -118,6 +118,12 @@
 	return min(most, time.Duration(wait))
 }
 
+// spread returns a part of a time that differs between requests, so that clients don't come
+// back together.
+func (j *job) spread(most time.Duration) time.Duration {
+	return time.Duration(j.jitter() * float64(most))
+}
+
 // returnPermit gives back the permit of a choice to which the request was not sent.
 func (j *job) returnPermit(c choice) {
 	if c.permitted {
