--- a/core/state/mirror/mirror.go
+++ b/core/state/mirror/mirror.go
@@ -201,15 +201,14 @@
 // byService groups the endpoints that accept requests by service. Of several
 // incarnations at one address it uses only the youngest, since the older ones
 // can no longer be running. Entries of services that the configuration does not have come
-// from other writers. The caller holds the lock.
+// from other writers, and hide none. The caller holds the lock.
 func (m *Mirror) byService(all map[string]*site.Endpoint, config *site.Config) map[string][]*site.Endpoint {
+	isConfigured := func(e *site.Endpoint) bool { return config == nil || config.Services[e.Service] != nil }
 	youngest := make(map[string]*site.Endpoint, len(all))
 	for _, e := range all {
-		if config != nil && config.Services[e.Service] == nil {
-			continue
-		}
 		address := e.Address.String()
-		if other, ok := youngest[address]; !ok || e.Started.After(other.Started) {
+		other, ok := youngest[address]
+		if !ok || isConfigured(e) && !isConfigured(other) || isConfigured(e) == isConfigured(other) && e.Started.After(other.Started) {
 			youngest[address] = e
 		}
 	}
