--- a/router/hosted/odd_test.go
+++ b/router/hosted/odd_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -44,7 +45,7 @@
 			t.Parallel()
 			is := is.New(t)
 			c := newCluster(t, 2)
-			c.revokeTime = 5e9
+			c.revokeTime = 5 * time.Second
 			c.startEndpoint("i-1", "shop", "zone-0", server.Config{})
 			c.startServing()
 			value, added := odd.value, 10
