Add the case of a crashing prompt part behind which other parts are rejected (BUDGET)

Cause: the deepest shared part of crashed requests is rejected and explains the crashes, so a bad part ahead of it is not found while requests come for one thing after the other.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -11,9 +11,10 @@
 )
 
 var cases = map[string]func(*world) (bool, error){
-	"memory": playMemory,
-	"poison": playPoison,
-	"taint":  playTaint,
+	"memory":   playMemory,
+	"poison":   playPoison,
+	"taint":    playTaint,
+	"subjects": playSubjects,
 }
 
 func main() {
--- a/review/harness/poison.go
+++ b/review/harness/poison.go
@@ -26,7 +26,7 @@
 		return false, err
 	}
 	time.Sleep(stable + 500*time.Millisecond)
-	const every = 40 * time.Millisecond
+	const every = 25 * time.Millisecond
 	w.say("the request comes every %d ms, at one host after the other", every.Milliseconds())
 	var sending sync.WaitGroup
 	begin := w.since()
@@ -71,7 +71,7 @@
 	}
 	const bad = "e4402b7d"
 	for _, e := range w.engines {
-		e.crashes = func(r *http.Request) bool { return strings.Contains(r.Header.Get("X-Prompt-Prefix"), bad) }
+		e.crashes = hasPart(bad)
 	}
 	if err := w.startAll(); err != nil {
 		return false, err
@@ -144,3 +144,8 @@
 		}()
 	}
 }
+
+// hasPart says whether the prompt of a request has a part.
+func hasPart(part string) func(*http.Request) bool {
+	return func(r *http.Request) bool { return strings.Contains(r.Header.Get("X-Prompt-Prefix"), part) }
+}
