Add the case of a tenant that becomes isolated (WALL)

Cause: the common cache salt stays the same when a tenant leaves it, so what its requests made is found by those of other tenants.

--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -40,6 +41,8 @@
 	sequence int64
 	server   *http.Server
 	up       bool
+	// cached holds, by salt and ID, the tenant whose request made each part that is kept.
+	cached map[string]string
 }
 
 // start opens the engine's address and writes its entry, as a new boot.
@@ -57,7 +60,7 @@
 	e.starts++
 	e.id = fmt.Sprintf("i-%s-%d", e.addr[len(e.addr)-5:], e.starts)
 	e.born = time.Now().UnixMilli()
-	e.orders, e.up = 0, true
+	e.orders, e.up, e.cached = 0, true, make(map[string]string)
 	e.slots = make(chan struct{}, cap(e.slots))
 	if e.version == 0 {
 		e.version = 1
@@ -180,6 +183,7 @@
 	}
 	defer func() { <-slots }()
 	e.w.note("runs", b.id, id, fmt.Sprintf("%s, body of %d bytes", r.RequestURI, len(body)))
+	e.usePrompt(b.id, r.Header)
 	if !wait(ctx, e.work) {
 		return
 	}
@@ -214,3 +218,26 @@
 		return false
 	}
 }
+
+// usePrompt finds the parts of a prompt that the engine keeps under the request's salt, records
+// who made them, and keeps the others. Parts behind one that is not kept are read again.
+func (e *engine) usePrompt(boot string, h http.Header) {
+	text := h.Get("X-Prompt-Prefix")
+	if text == "" {
+		return
+	}
+	tenant, salt := h.Get("X-Tenant"), h.Get("X-Cache-Salt")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	found := true
+	for part := range strings.SplitSeq(text, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		key := salt + " " + id
+		maker, ok := e.cached[key]
+		if found = found && ok; found {
+			e.w.note("uses", boot, h.Get("X-Request-Id"), fmt.Sprintf("tenant %s uses part %s that tenant %s made, salt %q", tenant, id, maker, salt))
+			continue
+		}
+		e.cached[key] = tenant
+	}
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(*world) (bool, error){
 	"memory":   playMemory,
 	"poison":   playPoison,
+	"wall":     playWall,
 	"taint":    playTaint,
 	"subjects": playSubjects,
 }
--- a/review/harness/setup.go
+++ b/review/harness/setup.go
@@ -14,8 +14,23 @@
 
 var siteZones = []string{"quito-norte", "quito-sur", "latacunga", "ambato"}
 
-// putConfig writes a config with the routes of the site.
+// tenant is an account in the config.
+type tenant struct {
+	name, key string
+	isolated  bool
+}
+
+// putConfig writes a config with the routes of the site and one tenant.
 func (w *world) putConfig(version int) {
+	w.putTenants(version, tenant{name: "sese880", key: siteKey})
+}
+
+// putTenants writes a config with the routes of the site and some tenants.
+func (w *world) putTenants(version int, tenants ...tenant) {
+	rows := []any{}
+	for _, t := range tenants {
+		rows = append(rows, map[string]any{"name": t.name, "api_keys": []string{t.key}, "priority": 1, "isolated": t.isolated})
+	}
 	route := func(name, kind, service string, timeout, target, attempts, priority int, resumable bool) map[string]any {
 		r := map[string]any{
 			"name": name, "host": siteHost, "path_prefix": "/" + name + "/", "route_kind": kind, "service": service,
@@ -42,7 +57,7 @@
 			map[string]any{"name": "pedidos", "health_path": "/health", "max_connections": 96, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "sese880", "api_keys": []string{siteKey}, "priority": 1, "isolated": false}},
+		"tenants": rows,
 	})
 	w.store.put("keyed.op", "version/"+model, map[string]any{"model": model, "version": 1})
 }
