--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -22,6 +22,7 @@
 	root    string
 	tmp     string
 	net     int
+	claim   net.PacketConn
 	start   time.Time
 	trouble bool
 
@@ -75,13 +76,30 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{root: root, tmp: tmp, net: 20 + os.Getpid()%200, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", file: file, record: bufio.NewWriter(file)}
+	w := &world{root: root, tmp: tmp, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", file: file, record: bufio.NewWriter(file)}
+	if err := w.claimNet(); err != nil {
+		return nil, err
+	}
 	if w.store, err = newStore(w.ip(250)); err != nil {
 		return nil, err
 	}
 	return w, nil
 }
 
+// claimNet takes a range of loopback addresses for this run: hosts of different runs have the
+// same port for their metrics. A UDP port that is held until the end is the claim.
+func (w *world) claimNet() error {
+	for try := range 200 {
+		w.net = 20 + (os.Getpid()+try)%200
+		claim, err := net.ListenPacket("udp", w.ip(254)+":9464")
+		if err == nil {
+			w.claim = claim
+			return nil
+		}
+	}
+	return errCantRun
+}
+
 // ip returns a loopback address of this run.
 func (w *world) ip(n int) string { return fmt.Sprintf("127.0.%d.%d", w.net, n) }
 
@@ -137,6 +155,7 @@
 		_ = e.server.Close()
 	}
 	_ = w.store.server.Close()
+	_ = w.claim.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(w.tmp)
 	} else {
