Confirm a crash before a request is sent again

Callers saw: nothing at once; the engines that crashed took other callers' requests with them. Cause: the crash of an endpoint is confirmed in a goroutine, and the retry of the request was sent beside it. Change: a retry waits up to 100 ms for the confirmation in progress, then the evidence is checked. Why it works: the confirmation takes a round trip, and the evidence is recorded before it ends.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -25,6 +25,7 @@
 // response; otherwise retry reports whether the request can safely be sent again.
 func (j *job) attempt(ctx context.Context) (retry bool, fault *rejection) {
 	r := j.r
+	j.awaitConfirmation(ctx)
 	if err := r.cfg.Poison.Check(j.fingerprint, maxCrashes, r.cfg.Clock.Now()); err != nil {
 		return false, newRejection(http.StatusServiceUnavailable, 0, "%v", err)
 	}
--- a/router/relay/crash.go
+++ b/router/relay/crash.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -23,6 +24,9 @@
 	// requests that wait for one confirmation. More are ignored.
 	maxConfirmations = 64
 	maxSuspects      = 256
+	// confirmationWait is how long a retry waits for the confirmation of the crash of its
+	// last attempt: more than a round trip between failure domains.
+	confirmationWait = 100 * time.Millisecond
 )
 
 // crashes finds out whether an endpoint that broke off requests has crashed: its host then
@@ -52,6 +56,8 @@
 	target      conns.Target
 	incarnation string
 	suspects    []suspectRequest
+	// ended is closed once the suspects are recorded, or the endpoint has not crashed.
+	ended chan struct{}
 }
 
 // suspectRequest is a request that had no event when its endpoint broke it off.
@@ -69,23 +75,24 @@
 	return e.ID + "/" + strconv.FormatInt(e.Started.UnixMilli(), base)
 }
 
-// suspect records that an endpoint broke off a request, without waiting.
-func (c *crashes) suspect(e *site.Endpoint, s suspectRequest) {
+// suspect records that an endpoint broke off a request, without waiting. It returns the
+// confirmation in progress, or nil.
+func (c *crashes) suspect(e *site.Endpoint, s suspectRequest) *confirmation {
 	key := incarnation(e)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, ok := c.confirmed[key]; ok {
 		c.r.cfg.Taint.RecordCrash(key, s.parts, c.r.cfg.Clock.Boot())
-		return
+		return nil
 	}
 	if running := c.running[key]; running != nil {
 		if len(running.suspects) < maxSuspects {
 			running.suspects = append(running.suspects, s)
 		}
-		return
+		return running
 	}
 	if len(c.running) >= maxConfirmations {
-		return
+		return nil
 	}
 	started := &confirmation{
 		crashes:     c,
@@ -93,12 +100,15 @@
 		target:      conns.Target{Incarnation: e.ID, Address: e.Address},
 		incarnation: key,
 		suspects:    []suspectRequest{s},
+		ended:       make(chan struct{}),
 	}
 	c.running[key] = started
 	go started.run(context.Background())
+	return started
 }
 
 func (f *confirmation) run(ctx context.Context) {
+	defer close(f.ended)
 	c := f.crashes
 	err := c.r.cfg.Conns.Probe(ctx, f.target)
 	// A host that is cut off may be refused by all endpoints.
@@ -145,7 +155,24 @@
 	if j.started || len(j.shared) == 0 || !j.isModel() || !isDisconnect(err) {
 		return
 	}
-	j.r.crashes.suspect(c.endpoint, suspectRequest{id: j.params.ID, parts: j.shared})
+	j.confirmation = j.r.crashes.suspect(c.endpoint, suspectRequest{id: j.params.ID, parts: j.shared})
+}
+
+// awaitConfirmation waits for the confirmation of the crash that the last attempt has met, so
+// that a retry is not sent if it shows that the prompt crashes engines.
+func (j *job) awaitConfirmation(ctx context.Context) {
+	f := j.confirmation
+	if f == nil {
+		return
+	}
+	j.confirmation = nil
+	limit := j.r.cfg.Clock.Once(confirmationWait)
+	defer limit.Stop()
+	select {
+	case <-f.ended:
+	case <-limit.C():
+	case <-ctx.Done():
+	}
 }
 
 // recordSound records that the parts of the request's prompt crash no engine.
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -93,6 +93,9 @@
 	streamType string
 	// partial is set if the last response broke off inside an event.
 	partial bool
+	// confirmation is in progress for the endpoint that broke off the last attempt; nil if
+	// none is.
+	confirmation *confirmation
 	// permitWaited is how long the request waited within endpoints' request limits.
 	permitWaited time.Duration
 
