Keep a permit's time while the host's share is unchanged

TestPermitsFollowTheShare failed once in a run of all tests (222.299243ms != 222.299245ms), and in 179 of 3,000 runs by itself. Cause: each look at the next permit scaled its time by interval / interval, and the product of floats loses up to some ns each time. Callers saw nothing of it. Change: it is scaled only if the interval has changed. 10,000 runs passed afterwards.

--- a/core/coord/pace/pace.go
+++ b/core/coord/pace/pace.go
@@ -196,7 +196,7 @@
 	switch {
 	case l.interval == 0:
 		l.next = now + time.Duration(rand.Float64()*float64(interval))
-	case l.next > now:
+	case l.next > now && interval != l.interval:
 		l.next = now + time.Duration(float64(l.next-now)*float64(interval)/float64(l.interval))
 	}
 	life := permitLife
