Change the salt of shared prompt parts with the isolated accounts

Cause: accounts that are not isolated had the same salt at all times. One that becomes isolated leaves that salt, but what it made stays under it and is found by the others. Change: that salt is a hash of the names of the isolated accounts, of those without a key too; it is chosen by the newest configuration when the request is sent. Nothing is stored, so hosts agree after restarts. It stays empty where no account is isolated. Why it works: parts under a salt were made by accounts that shared under the same set, and all that use that salt share under it too.

--- a/core/state/site/site.go
+++ b/core/state/site/site.go
@@ -9,6 +9,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Kind says whether the requests of a route may run more than once and whether they
@@ -135,6 +137,9 @@
 	accounts    map[string]*Account
 	hasAccounts bool
 	routes      map[string][]*Route
+	isolated    map[string]struct{}
+	// sharedScope is the cache scope of the accounts that are not isolated.
+	sharedScope string
 }
 
 // Spec is the input from which New builds a Config.
@@ -145,6 +150,8 @@
 	Limits   Limits
 	// Accounts holds the accounts by API key; nil if the deployment has no accounts.
 	Accounts map[string]*Account
+	// Isolated are the names of the isolated accounts, also of those without a key.
+	Isolated []string
 }
 
 // ErrNoRoutes reports a configuration without routes.
@@ -162,6 +169,8 @@
 		accounts:    p.Accounts,
 		hasAccounts: p.Accounts != nil,
 		routes:      make(map[string][]*Route),
+		isolated:    lo.Keyify(p.Isolated),
+		sharedScope: sharedScope(p.Isolated),
 	}
 	for _, s := range p.Services {
 		c.Services[s.Name] = s
--- a/core/state/site/site_test.go
+++ b/core/state/site/site_test.go
@@ -53,3 +53,22 @@
 	_, err := site.New(site.Spec{Version: 1})
 	is.Equal(err, site.ErrNoRoutes)
 }
+
+// The accounts that share cached parts use another scope whenever the set of isolated
+// accounts changes; an isolated account has its own.
+func TestCacheScopeFollowsTheIsolatedAccounts(t *testing.T) {
+	is := is.New(t)
+	scope := func(a *site.Account, isolated ...string) string {
+		c, err := site.New(site.Spec{Routes: []*site.Route{{Name: "all"}}, Isolated: isolated})
+		is.NoErr(err)
+		return c.CacheScope(a)
+	}
+	acme := &site.Account{Name: "acme"}
+	is.Equal(scope(acme), "")
+	is.Equal(scope(acme, "bolt"), scope(nil, "bolt"))
+	is.Equal(scope(acme, "bolt", "cobalt"), scope(acme, "cobalt", "bolt", "bolt"))
+	is.Equal(scope(acme, "acme"), "account-acme") // isolated since the request was authenticated
+	is.Equal(scope(&site.Account{Name: "acme", Isolated: true}, "bolt"), "account-acme")
+	scopes := map[string]bool{scope(acme): true, scope(acme, "bolt"): true, scope(acme, "cobalt"): true, scope(acme, "bolt", "cobalt"): true}
+	is.Equal(len(scopes), 4)
+}
--- a/router/hosted/cluster_test.go
+++ b/router/hosted/cluster_test.go
@@ -203,6 +203,10 @@
 
 // putConfig publishes a configuration version whose only account has the given API keys.
 func (c *cluster) putConfig(version int, keys ...string) {
+	c.putTenants(version, map[string]any{"name": "acme", "api_keys": keys, "isolated": true})
+}
+
+func (c *cluster) putTenants(version int, tenants ...map[string]any) {
 	route := func(name, kind, service string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "a.example", "path_prefix": "/" + name + "/", "route_kind": kind, "service": service,
@@ -230,7 +234,7 @@
 			map[string]any{"name": "store", "kv_store_address": "127.0.0.1:9", "kv_capacity": 1000000},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "acme", "api_keys": keys, "isolated": true}},
+		"tenants": tenants,
 	})
 }
 
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -37,6 +37,8 @@
 		return false, fault
 	}
 	defer begun.Done()
+	// An account may have become isolated while the request waited for a permit.
+	j.view = r.cfg.Mirror.View()
 	timeout := max(time.Millisecond, j.clientDeadline.Sub(r.cfg.Clock.Now()))
 	j.sends++
 	j.attempts++
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -254,14 +254,9 @@
 	return min(max(0, j.account.Rank)*routeRanks+route, maxRank)
 }
 
-// cacheSalt returns a salt that keeps other client accounts from sharing the cached
-// prompt parts of an isolated account.
-func (j *job) cacheSalt() string {
-	if j.account != nil && j.account.Isolated {
-		return "account-" + j.account.Name
-	}
-	return ""
-}
+// cacheSalt returns a salt that keeps accounts from sharing cached prompt parts that they
+// must not share.
+func (j *job) cacheSalt() string { return j.view.Config.CacheScope(j.account) }
 
 // run sends the request until there is a response or it can't be retried.
 func (j *job) run() {
--- a/router/watch/published.go
+++ b/router/watch/published.go
@@ -82,7 +82,7 @@
 		w.cfg.Logger.Warn("ignored invalid record of the operator", "error", fault)
 	}
 	if p.Config != nil && w.cfg.Mirror.SetConfig(p.Config) {
-		w.cfg.Logger.Info("configuration updated", "version", p.Config.Version, "era", p.Era, "next", p.Next)
+		w.cfg.Logger.Info("configuration updated", "version", p.Config.Version, "era", p.Era, "next", p.Next, "cache-scope", p.Config.CacheScope(nil))
 	}
 	w.applyWeights(p)
 	w.mu.Lock()
