Bound the heads of responses to reports, orders and probes

Report: a faulty engine sent bytes without end in a head or a body, and the host that had called it kept them all. It can happen here: the client that gets reports from and sends orders to engines kept heads of up to 10 MiB (the default of net/http) and bodies of 1 MiB, for each engine that is called at once; so did those of probes and services. Requests were bounded already (router/conns). Evidence: TestEndlessAnswersOfEnginesAreErrors failed before for four kinds of endless heads (over 8 MiB taken), and passes. Why it works: the transport closes the connection at the bound.

--- a/core/proto/logapi/client.go
+++ b/core/proto/logapi/client.go
@@ -18,6 +18,7 @@
 
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/stream"
+	"cicadastand.dev/core/trans/httpc"
 )
 
 // RecordBody is the JSON encoding of a record.
@@ -108,7 +109,8 @@
 
 // New returns a client.
 func New(cfg Config) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConns, DialContext: cfg.Dial}
+	transport := httpc.NewTransport(cfg.Dial)
+	transport.MaxIdleConnsPerHost = idleConns
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
 }
 
--- a/router/conns/conns.go
+++ b/router/conns/conns.go
@@ -24,6 +24,7 @@
 
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/trans/dialer"
+	"cicadastand.dev/core/trans/httpc"
 )
 
 const (
@@ -34,9 +35,7 @@
 	maxMismatched = 2
 	// maxDiscard limits the body of a response that is skipped, in bytes.
 	maxDiscard = 256 << 10
-	// maxHead limits the head of a response, in bytes, and maxInterim the number of
-	// interim responses before it.
-	maxHead    = 64 << 10
+	// maxInterim limits the number of interim responses before a response.
 	maxInterim = 8
 	// maxDrain and drainTimeout limit what is read of a response that is not needed, in
 	// order to reuse its connection.
@@ -197,12 +196,12 @@
 
 var (
 	errMismatched  = errors.New("answers on the channel belong to other requests")
-	errHeadTooLong = fmt.Errorf("response head is longer than %d bytes", maxHead)
+	errHeadTooLong = fmt.Errorf("response head is longer than %d bytes", httpc.MaxHead)
 	errInterim     = fmt.Errorf("more than %d interim responses", maxInterim)
 	errDrain       = errors.New("response body has no end within the limits")
 )
 
-// headLimiter reads from a connection. While it is limited, it fails after maxHead bytes,
+// headLimiter reads from a connection. While it is limited, it fails after httpc.MaxHead bytes,
 // since an endpoint may send a head without end.
 type headLimiter struct {
 	conn    net.Conn
@@ -210,7 +209,7 @@
 	left    int
 }
 
-func (l *headLimiter) limit(on bool) { l.limited, l.left = on, maxHead }
+func (l *headLimiter) limit(on bool) { l.limited, l.left = on, httpc.MaxHead }
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(to []byte) (int, error) {
--- a/router/invoke/wire.go
+++ b/router/invoke/wire.go
@@ -18,6 +18,7 @@
 	"cicadastand.dev/core/proto/openai"
 	"cicadastand.dev/core/state/fleet"
 	"cicadastand.dev/core/trans/dialer"
+	"cicadastand.dev/core/trans/httpc"
 )
 
 const (
@@ -41,15 +42,13 @@
 	}
 	s := &singleUseClient{conn: conn}
 	var used sync.Once
-	transport := &http.Transport{
-		DisableKeepAlives: true,
-		DialContext: func(context.Context, string, string) (net.Conn, error) {
-			err := errors.New("the connection was already used")
-			var out net.Conn
-			used.Do(func() { out, err = conn, nil })
-			return out, err
-		},
-	}
+	transport := httpc.NewTransport(func(context.Context, string, string) (net.Conn, error) {
+		err := errors.New("the connection was already used")
+		var out net.Conn
+		used.Do(func() { out, err = conn, nil })
+		return out, err
+	})
+	transport.DisableKeepAlives = true
 	s.client = &http.Client{Transport: transport, CheckRedirect: returnRedirect}
 	return s, nil
 }
@@ -71,7 +70,8 @@
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func newRetryableClient(dial dialer.Func) *http.Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerService, DialContext: dial}
+	transport := httpc.NewTransport(dial)
+	transport.MaxIdleConnsPerHost = idleConnsPerService
 	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
 }
 
--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -22,6 +22,7 @@
 	"cicadastand.dev/core/state/index"
 	"cicadastand.dev/core/state/prefix"
 	"cicadastand.dev/core/trans/dialer"
+	"cicadastand.dev/core/trans/httpc"
 )
 
 // Views returns the current configuration.
@@ -73,7 +74,8 @@
 
 // New returns a prober; Run starts it.
 func New(cfg Config) *Prober {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, DialContext: cfg.Dial}
+	transport := httpc.NewTransport(cfg.Dial)
+	transport.MaxIdleConnsPerHost = 2
 	return &Prober{
 		cfg:     cfg,
 		http:    &http.Client{Transport: transport},
--- a/router/roll/roll.go
+++ b/router/roll/roll.go
@@ -19,6 +19,7 @@
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/conf"
 	"cicadastand.dev/core/trans/dialer"
+	"cicadastand.dev/core/trans/httpc"
 )
 
 // Views returns the current configuration.
@@ -67,7 +68,7 @@
 
 // New returns a runner; Run starts it.
 func New(cfg Config) *Runner {
-	return &Runner{cfg: cfg, http: &http.Client{Transport: &http.Transport{DialContext: cfg.Dial}}, inProgress: make(map[string]bool)}
+	return &Runner{cfg: cfg, http: &http.Client{Transport: httpc.NewTransport(cfg.Dial)}, inProgress: make(map[string]bool)}
 }
 
 // Run sends orders until ctx ends, and returns when those in progress have ended.
--- a/router/send/send.go
+++ b/router/send/send.go
@@ -19,6 +19,7 @@
 	"cicadastand.dev/core/state/fleet"
 	"cicadastand.dev/core/state/index"
 	"cicadastand.dev/core/trans/dialer"
+	"cicadastand.dev/core/trans/httpc"
 )
 
 // Views provides the current configuration.
@@ -87,7 +88,8 @@
 
 // New returns a Dispatcher and registers its metrics.
 func New(cfg Config) *Dispatcher {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerEngine, DialContext: cfg.Dial}
+	transport := httpc.NewTransport(cfg.Dial)
+	transport.MaxIdleConnsPerHost = idleConnsPerEngine
 	return &Dispatcher{
 		cfg:          cfg,
 		http:         &http.Client{Transport: transport},
