Limit the memory of responses that can't be forwarded yet

Report: a faulty engine sent bytes that were no answer without end; the host that had called it kept them all and ran out of memory, and other clients' requests ended with it. It can happen here: each event may have 1 MiB and each short body 256 KiB, but nothing limited their sum. 200 requests whose responses don't end held 222 MiB (events) and 74 MiB (bodies) on one host; hosts of the sites have 134 MB. Change: beyond 16 KiB for each request, buffers of events and bodies come from a tenth of the host's memory. A stream that gets none breaks off, which does not count as a crash by its request; a body is forwarded as it arrives. Gauge cicada_relay_held_bytes. Why it works: what a host keeps for all of them is limited, however many there are.

--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -65,6 +65,8 @@
 	memoryShare = 0.6
 	// bodyShare is the fraction of the platform's memory limit for buffered request bodies.
 	bodyShare = 0.15
+	// responseShare is that for parts of responses that can't be forwarded yet.
+	responseShare = 0.1
 	// keyMargin allows for the time from the last check of an API key until the request
 	// reaches the endpoint.
 	keyMargin = 500 * time.Millisecond
@@ -246,6 +248,7 @@
 		OldWeightsGrace:  s.Bounds.OldWeightsGrace,
 		MaxConfigAge:     s.Bounds.MaxKeyAge - keyMargin,
 		MaxBuffered:      int64(bodyShare * float64(s.MemoryBytes)),
+		MaxHeld:          int64(responseShare * float64(s.MemoryBytes)),
 		Logger:           cfg.Logger,
 		Metrics:          h.metrics,
 	})
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -257,7 +256,7 @@
 	if success && j.route.Kind == site.Stream {
 		return j.stream(ctx, c, resp, tracked, sent)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedResponse+1))
+	body, complete, err := j.held.readBody(resp)
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errCutOff) {
 			return j.breakForCut(c)
@@ -273,7 +272,7 @@
 		j.recordSound()
 	}
 	full := &response{status: resp.Status, header: resp.Header, body: body, length: int64(len(body))}
-	if len(body) > maxBufferedResponse {
+	if !complete {
 		full.length, full.rest = resp.Length, resp
 	}
 	if !success && full.rest == nil && j.route.Retryable() && !j.started {
--- a/router/relay/forward.go
+++ b/router/relay/forward.go
@@ -96,7 +96,7 @@
 
 // forwardResponse sends the response of another host to the client.
 func (j *job) forwardResponse(ctx context.Context, resp *call.ForwardedResponse) (retry bool, fault *rejection) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	body, complete, err := j.held.readBody(resp.Body)
 	if err != nil {
 		if ctx.Err() != nil {
 			return false, errTimeout
@@ -115,7 +115,7 @@
 		j.reason = "writing the response to the client failed: " + err.Error()
 		return false, nil
 	}
-	if len(body) <= maxBufferedResponse {
+	if complete {
 		return false, nil
 	}
 	j.started = true
@@ -134,7 +134,8 @@
 		return false, newRejection(http.StatusBadGateway, 0, "host %s resumed the stream at software version %q instead of %q", resp.Host, build, j.build)
 	}
 	j.build, j.hasBuild = build, true
-	source := &eventReader{src: resp.Body}
+	source := j.newEventReader(resp.Body)
+	defer source.held.release()
 	answer := &conns.Response{Status: resp.Status, Header: resp.Header}
 	for first := true; ; first = false {
 		event, err := source.next()
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -49,6 +49,8 @@
 	service     *site.Service
 	serviceName string
 	body        []byte
+	// held is what is in memory of the responses that were read in full.
+	held        heldBytes
 	fingerprint poison.Fingerprint
 	// shared are the parts of the prompt that other requests can have too, in order.
 	shared []string
@@ -106,7 +108,7 @@
 
 func (r *Relay) newJob(w http.ResponseWriter, req *http.Request) *job {
 	params := r.cfg.Codec.Request(req.Header)
-	return &job{r: r, w: w, req: req, start: r.cfg.Clock.Now(), params: params, shared: sharedParts(&params), tried: make(map[string]bool), outcome: "none"}
+	return &job{r: r, w: w, req: req, start: r.cfg.Clock.Now(), params: params, shared: sharedParts(&params), held: heldBytes{limit: &r.held}, tried: make(map[string]bool), outcome: "none"}
 }
 
 // admit matches the route, authenticates the client, and then reads the body.
@@ -332,6 +334,7 @@
 
 // finish logs the outcome of the request and updates the metrics.
 func (j *job) finish() {
+	j.held.release()
 	took := j.r.cfg.Clock.Now().Sub(j.start)
 	j.r.latency.Update(took.Seconds())
 	j.r.cfg.Metrics.GetOrCreateCounter(`cicada_relay_requests_total{outcome="` + j.outcome + `"}`).Inc()
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -125,8 +125,10 @@
 	MaxConfigAge time.Duration
 	// MaxBuffered limits the total bytes of request bodies in memory.
 	MaxBuffered int64
-	Logger      hclog.Logger
-	Metrics     *metrics.Set
+	// MaxHeld limits the total bytes of responses that can't be forwarded yet.
+	MaxHeld int64
+	Logger  hclog.Logger
+	Metrics *metrics.Set
 }
 
 // Relay is the HTTP handler of clients' requests.
@@ -138,6 +140,7 @@
 	crashes    *crashes
 	roundRobin atomic.Uint64
 	buffered   atomic.Int64
+	held       heldLimit
 	inFlight   atomic.Int64
 	stopping   atomic.Bool
 	// ending ends with the time in which requests can be completed.
@@ -173,6 +176,8 @@
 
 		forwardedTotal: cfg.Metrics.NewCounter("cicada_relay_forwarded_total"),
 	}
+	r.held.max = cfg.MaxHeld
+	cfg.Metrics.NewGauge("cicada_relay_held_bytes", func() float64 { return float64(r.held.total.Load()) })
 	r.crashes = newCrashes(r)
 	r.ending, r.end = context.WithCancelCause(context.Background())
 	return r
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -29,8 +29,13 @@
 
 // eventReader splits a stream of server-sent events into events.
 type eventReader struct {
-	src io.Reader
-	buf []byte
+	src  io.Reader
+	held heldBytes
+	buf  []byte
+}
+
+func (j *job) newEventReader(src io.Reader) *eventReader {
+	return &eventReader{src: src, held: heldBytes{limit: &j.r.held}}
 }
 
 // next returns the next event, including the blank line that ends it. It returns
@@ -40,14 +45,17 @@
 		if n := eventEnd(e.buf); n > 0 {
 			event := e.buf[:n]
 			e.buf = e.buf[n:]
+			e.shrink()
 			return event, nil
 		}
 		if len(e.buf) > maxEvent {
 			return nil, errEventSize
 		}
-		chunk := make([]byte, eventChunk)
-		n, err := e.src.Read(chunk)
-		e.buf = append(e.buf, chunk[:n]...)
+		if err := e.makeRoom(); err != nil {
+			return nil, err
+		}
+		n, err := e.src.Read(e.buf[len(e.buf):cap(e.buf)])
+		e.buf = e.buf[:len(e.buf)+n]
 		if err == nil || n > 0 && errors.Is(err, io.EOF) {
 			continue
 		}
@@ -58,6 +66,27 @@
 	}
 }
 
+// makeRoom makes room to read the next part of the stream.
+func (e *eventReader) makeRoom() error {
+	if cap(e.buf)-len(e.buf) >= eventChunk {
+		return nil
+	}
+	size := max(freeHeldBytes, 2*len(e.buf)+eventChunk)
+	if more := size - int(e.held.used); more > 0 && !e.held.take(more) {
+		return errHeldMemory
+	}
+	e.buf = append(make([]byte, 0, size), e.buf...)
+	return nil
+}
+
+// shrink gives up the large buffer of an event that is complete.
+func (e *eventReader) shrink() {
+	if e.held.used > freeHeldBytes && len(e.buf) < eventChunk {
+		e.buf = bytes.Clone(e.buf)
+		e.held.release()
+	}
+}
+
 // eventEnd returns the length of the first complete event, or 0.
 func eventEnd(b []byte) int {
 	if at := bytes.Index(b, []byte("\n\n")); at >= 0 {
@@ -91,7 +120,8 @@
 	if j.started && resp.Header.Get("Content-Type") != j.streamType {
 		return j.recordPossibleCrash(fmt.Sprintf("endpoint %s continued the stream with a body of type %q", c.endpoint.ID, resp.Header.Get("Content-Type")), nil)
 	}
-	source := &eventReader{src: resp}
+	source := j.newEventReader(resp)
+	defer source.held.release()
 	first := true
 	for {
 		event, err := source.next()
@@ -110,6 +140,10 @@
 				return false, errTimeout
 			}
 			j.partial = source.isPartial()
+			if errors.Is(err, errHeldMemory) {
+				// It tells of the memory of this host, and not of the request.
+				return j.route.Retryable(), newRejection(http.StatusBadGateway, 0, "endpoint %s, after event %d: %v", c.endpoint.ID, j.lastEvent, err)
+			}
 			j.recordUnreachable(c, err)
 			j.suspectCrash(c, err)
 			return j.recordPossibleCrash(fmt.Sprintf("endpoint %s broke off after event %d: %v", c.endpoint.ID, j.lastEvent, err), err)
