Close idle connections on which bytes arrive

Report: bytes that were no answer, without end, used up the memory of the host that had called. An engine that goes on sending after its answer fills the buffers of the idle connection, and bytes that are received and not read count as memory of the host. They stayed until the next use or the idle timeout.

--- a/router/conns/conns.go
+++ b/router/conns/conns.go
@@ -397,15 +397,15 @@
 	return err == nil && open
 }
 
-// Sweep closes the idle connections that are too old to be reused, and those to
-// targets for which keep returns false.
+// Sweep closes the idle connections that are too old to be reused, those on which bytes
+// have arrived that belong to no request, and those to targets for which keep returns false.
 func (p *Pool) Sweep(keep func(Target) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for to, list := range p.idle {
 		var rest []*clientConn
 		for _, cc := range list {
-			if keep(to) && p.usable(cc, false) {
+			if keep(to) && p.usable(cc, false) && cc.isIdle() {
 				rest = append(rest, cc)
 				continue
 			}
--- a/router/conns/endless_test.go
+++ b/router/conns/endless_test.go
@@ -99,3 +99,34 @@
 		is.Equal(body, "own")
 	}
 }
+
+// An endpoint sends bytes without end on a connection that is idle. They count as memory of
+// the host, so the connection does not wait for its next use.
+func TestSweepClosesIdleConnectionsWithUnreadBytes(t *testing.T) {
+	is := is.New(t)
+	idle := make(chan struct{})
+	sending := make(chan struct{})
+	closed := make(chan error, 1)
+	s := serve(t, func(conn net.Conn, _ int) {
+		write(conn, response("1", "own"))
+		<-idle
+		_, err := conn.Write([]byte("x"))
+		close(sending)
+		block := make([]byte, 64<<10)
+		for err == nil {
+			_, err = conn.Write(block)
+		}
+		closed <- err
+	})
+	p := pool(t)
+	_, err := get(p, s.target(), "1")
+	is.NoErr(err)
+	close(idle)
+	<-sending
+	p.Sweep(func(conns.Target) bool { return true })
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
