Resume no stream at a version from an old endpoint list

Report: one host was out of step for seconds while engines of a new software version joined; streams that had begun there through other hosts were resumed at it and went on at another version. It can happen here. Cause: a host whose engines all had one version for 30 s took that for the version of each stream, however old its list was; it did not read the store's records of origins. Change: a list older than 2 s does not tell. Streams begin at a new version once it has been listed for 2.5 s, while there are others, so that a list of the usual age tells in any case. Evidence: TestHostThatWasOutOfStepDoesNotResumeStreamsAtItsOldBuild (five of seven cases) and TestHostThatStoodStillReadsTheStoreBeforeItLooksAtTheList failed with lists of any age allowed, as before; all pass. Why it works: whoever lacks a version in its list that streams may have begun at has a list that is too old.

--- a/core/coord/origin/origin.go
+++ b/core/coord/origin/origin.go
@@ -28,6 +28,13 @@
 	// Retention is how long origins are remembered, and how long a base build must not have
 	// been listed before another one replaces it. No client resumes a stream for longer.
 	Retention time.Duration
+	// MaxListAge is the age up to which the endpoint list tells the builds that may have begun
+	// a stream; 0 for any age.
+	MaxListAge time.Duration
+	// SettleTime is how long a build must have been listed before streams begin there while
+	// others are listed. It is longer than MaxListAge, so that a host whose list lacks the
+	// build knows by then that its list is too old.
+	SettleTime time.Duration
 }
 
 // Table holds origins, and the builds of each service. It is safe for concurrent use. All
@@ -39,6 +46,8 @@
 
 	mu       sync.Mutex
 	services map[string]*service
+	// listedAt is the time at which the endpoint list is known to have been current.
+	listedAt time.Duration
 	// current and previous hold the origins in two generations, so that old ones are
 	// dropped without a search.
 	current   map[feed.StreamKey]string
@@ -122,6 +131,37 @@
 	t.updateLost(s, now)
 }
 
+// SetListTime records that the endpoint list was current at a time.
+func (t *Table) SetListTime(at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listedAt = max(t.listedAt, at)
+}
+
+// IsListCurrent reports whether the endpoint list tells the builds that may have begun a
+// stream. A host that was suspended or cut off from the others may lack a build at which they
+// have begun streams since.
+func (t *Table) IsListCurrent(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cfg.MaxListAge == 0 || now-t.listedAt <= t.cfg.MaxListAge
+}
+
+// SettledBuilds returns the builds of a service at which streams should begin, and false if
+// they may begin at any.
+func (t *Table) SettledBuilds(name string, now time.Duration) ([]string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := t.service(name).listed
+	var settled []string
+	for build, l := range listed {
+		if now-l.since >= t.cfg.SettleTime {
+			settled = append(settled, build)
+		}
+	}
+	return settled, len(settled) > 0 && len(settled) < len(listed)
+}
+
 // updateLost updates since when the base build is not listed; the caller holds the lock.
 func (t *Table) updateLost(s *service, now time.Duration) {
 	if _, ok := s.listed[s.base.Build]; ok {
@@ -239,6 +279,8 @@
 	// errUnnamed reports a client that does not say which stream it resumes, while several
 	// builds may have begun it.
 	errUnnamed = errors.New("the client does not name the stream, and several builds serve")
+	// errListAge reports such a client while the endpoint list may lack a build.
+	errListAge = errors.New("the client does not name the stream, and the endpoint list is too old")
 )
 
 // Resolve returns the build that began a stream, if the store's records up to now have been
@@ -251,6 +293,9 @@
 		return build, nil
 	}
 	if stream == 0 {
+		if !t.IsListCurrent(now) {
+			return "", errListAge
+		}
 		return t.onlyListed(name)
 	}
 	if base, ok := t.Base(name); ok {
@@ -277,6 +322,14 @@
 // Sole returns the build that all endpoints of a service have had for the retention time. All
 // streams that can be resumed began there.
 func (t *Table) Sole(name string, now time.Duration) (string, bool) {
+	if !t.IsListCurrent(now) {
+		return "", false
+	}
+	return t.SoleListed(name, now)
+}
+
+// SoleListed is like Sole for an endpoint list of any age.
+func (t *Table) SoleListed(name string, now time.Duration) (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
--- a/core/state/mirror/mirror.go
+++ b/core/state/mirror/mirror.go
@@ -70,16 +70,37 @@
 type Mirror struct {
 	mu sync.Mutex
 	// leaving holds when the incarnations started that said that they are draining.
-	leaving      map[string]time.Time
-	view         atomic.Pointer[View]
-	configReadAt atomic.Int64
+	leaving map[string]time.Time
+	view    atomic.Pointer[View]
+	// configRead and endpointsRead are the starts of the newest reads that found the
+	// configuration and the endpoint list to be current.
+	configRead    readTime
+	endpointsRead readTime
+}
+
+// readTime is the start of the newest read; negative before the first one.
+type readTime struct{ at atomic.Int64 }
+
+func (r *readTime) mark(started time.Duration) {
+	for {
+		old := r.at.Load()
+		if int64(started) <= old || r.at.CompareAndSwap(old, int64(started)) {
+			return
+		}
+	}
+}
+
+func (r *readTime) get() (time.Duration, bool) {
+	at := r.at.Load()
+	return time.Duration(at), at >= 0
 }
 
 // New returns an empty mirror.
 func New() *Mirror {
 	m := &Mirror{leaving: make(map[string]time.Time)}
 	m.view.Store(&View{Endpoints: map[string]*site.Endpoint{}, ByService: map[string][]*site.Endpoint{}, Weights: map[string][]WeightsVersion{}})
-	m.configReadAt.Store(-1)
+	m.configRead.at.Store(-1)
+	m.endpointsRead.at.Store(-1)
 	return m
 }
 
@@ -88,23 +109,23 @@
 
 // MarkConfigCurrent records that a read which began at started found the mirrored
 // configuration to be the newest.
-func (m *Mirror) MarkConfigCurrent(started time.Duration) {
-	for {
-		old := m.configReadAt.Load()
-		if int64(started) <= old || m.configReadAt.CompareAndSwap(old, int64(started)) {
-			return
-		}
-	}
-}
+func (m *Mirror) MarkConfigCurrent(started time.Duration) { m.configRead.mark(started) }
+
+// MarkEndpointsCurrent is like MarkConfigCurrent for the endpoint list.
+func (m *Mirror) MarkEndpointsCurrent(started time.Duration) { m.endpointsRead.mark(started) }
+
+// EndpointsReadAt returns the start of the newest read that the endpoint list is known to
+// agree with, and false if there is none.
+func (m *Mirror) EndpointsReadAt() (time.Duration, bool) { return m.endpointsRead.get() }
 
 // ConfigAge returns the time since the configuration was last known to be the
 // newest, and false if it never was.
 func (m *Mirror) ConfigAge(now time.Duration) (time.Duration, bool) {
-	readAt := m.configReadAt.Load()
-	if readAt < 0 || m.view.Load().Config == nil {
+	readAt, ok := m.configRead.get()
+	if !ok || m.view.Load().Config == nil {
 		return 0, false
 	}
-	return now - time.Duration(readAt), true
+	return now - readAt, true
 }
 
 // SetConfig installs a configuration and reports whether it did. A configuration
--- a/router/conns/endless_test.go
+++ b/router/conns/endless_test.go
@@ -125,7 +125,8 @@
 	<-sending
 	p.Sweep(func(conns.Target) bool { return true })
 	select {
-	case <-closed:
+	case err := <-closed:
+		is.True(err != nil)
 	case <-time.After(5 * time.Second):
 		t.Fatal("the connection is still open")
 	}
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -209,16 +209,17 @@
 	})
 	placementUpdates := kvmap.NewOutbox()
 	h.keep = keep.New(keep.Config{
-		Clock:     cfg.Clock,
-		Log:       cfg.Platform.Source,
-		Table:     keep.NewTable(),
-		Mirror:    h.mirror,
-		Era:       h.storeEra,
-		IsLead:    h.isLead,
-		HostCount: h.hostCount,
-		WriteRate: s.StoreWriteRate,
-		Logger:    cfg.Logger,
-		Metrics:   h.metrics,
+		Clock:         cfg.Clock,
+		Log:           cfg.Platform.Source,
+		Table:         keep.NewTable(),
+		Mirror:        h.mirror,
+		Era:           h.storeEra,
+		IsLead:        h.isLead,
+		HostCount:     h.hostCount,
+		IsPartitioned: h.isPartitioned,
+		WriteRate:     s.StoreWriteRate,
+		Logger:        cfg.Logger,
+		Metrics:       h.metrics,
 	})
 	h.reach = reach.New(reach.Config{EndpointCount: h.endpointCount, Report: h.logReach})
 	h.relay = relay.New(relay.Config{
--- a/router/keep/keep.go
+++ b/router/keep/keep.go
@@ -50,6 +50,8 @@
 	IsLead func() bool
 	// HostCount returns the number of hosts.
 	HostCount func() int
+	// IsPartitioned reports whether this host has no contact with any other host.
+	IsPartitioned func() bool
 	// WriteRate is the number of writes per second that the store takes from all hosts.
 	WriteRate float64
 	Logger    hclog.Logger
@@ -59,6 +61,11 @@
 const (
 	// retention is how long origins are kept. It is longer than any client resumes a stream.
 	retention = 30 * time.Second
+	// maxListAge is longer than the endpoint list takes to get to a host while the store
+	// responds: a host whose hub passes nothing on reads the store itself by then.
+	maxListAge = 2 * time.Second
+	// settleTime allows for the time in which a list gets from host to host.
+	settleTime = maxListAge + 500*time.Millisecond
 	// renewAfter is the age from which on the record of a stream that is still sent is
 	// repeated: some platforms keep records for 20 s.
 	renewAfter = 8 * time.Second
@@ -130,7 +137,9 @@
 }
 
 // NewTable returns the table of origins for a Keeper.
-func NewTable() *origin.Table { return origin.New(origin.Config{Retention: retention}) }
+func NewTable() *origin.Table {
+	return origin.New(origin.Config{Retention: retention, MaxListAge: maxListAge, SettleTime: settleTime})
+}
 
 // New returns a keeper that has not started.
 func New(cfg Config) *Keeper {
@@ -208,14 +217,15 @@
 	}
 }
 
-// OnlyBuild returns the build at which streams of a service begin while the store takes no
-// records, and false if they may begin at any.
-func (k *Keeper) OnlyBuild(service string) (string, bool) {
+// BuildsToBegin returns the builds at which streams of a service should begin now, and false
+// if they may begin at any: the base build while the store takes no records, otherwise those
+// that all hosts know or miss in a list that is too old.
+func (k *Keeper) BuildsToBegin(service string) ([]string, bool) {
 	if !k.fails() {
-		return "", false
+		return k.cfg.Table.SettledBuilds(service, k.cfg.Clock.Boot())
 	}
 	base, ok := k.cfg.Table.Base(service)
-	return base.Build, ok
+	return []string{base.Build}, ok
 }
 
 // fails reports whether the store does not take records now.
@@ -241,6 +251,12 @@
 	}
 	k.lookups.Inc()
 	if err := k.awaitRead(ctx); err != nil {
+		// While the store is away, no host learns of another build. This one would have heard
+		// of the builds that were listed before.
+		build, ok := k.cfg.Table.SoleListed(service, k.cfg.Clock.Boot())
+		if ok && (k.cfg.HostCount() < 2 || !k.cfg.IsPartitioned()) {
+			return build, nil
+		}
 		return "", err
 	}
 	return k.cfg.Table.Resolve(service, stream, k.cfg.Clock.Boot())
--- a/router/keep/read.go
+++ b/router/keep/read.go
@@ -38,7 +38,8 @@
 		}
 		r.err = k.readOrigins(ctx)
 		// Right after the start no service was observed yet.
-		if r.err == nil && (len(k.serviceNames()) == 0 || k.anyService(k.cfg.Table.MayBeOutdated)) {
+		mayLack := len(k.serviceNames()) == 0 || !k.cfg.Table.IsListCurrent(k.cfg.Clock.Boot()) || k.anyService(k.cfg.Table.MayBeOutdated)
+		if r.err == nil && mayLack {
 			_, r.err = k.readBases(ctx)
 		}
 		close(r.done)
@@ -87,10 +88,15 @@
 		case <-ctx.Done():
 			return
 		}
+		// The view is at least as new as the time that is taken before it.
+		listedAt, listed := k.cfg.Mirror.EndpointsReadAt()
 		if view := k.cfg.Mirror.View(); view != seen {
 			seen = view
 			k.observe(view)
 		}
+		if listed {
+			k.cfg.Table.SetListTime(listedAt)
+		}
 		k.repeatAfter(k.cfg.Era())
 		now := k.cfg.Clock.Boot()
 		if now < nextRead || len(k.proposals(now)) == 0 && !k.anyService(k.cfg.Table.NeedsRead) {
--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -74,7 +74,7 @@
 			return choice{}, r.rejectOldWeights("none of %d engines of %s has loaded weights that may still be used", len(untried), j.serviceName)
 		}
 	}
-	usable = j.withRecordableBuild(usable)
+	usable = j.withBuildToBegin(usable)
 	now := r.cfg.Clock.Boot()
 	usable = lo.Filter(usable, func(e *site.Endpoint, _ int) bool { return r.cfg.Avoid.MaySend(e.ID, e.Started, now) })
 	if len(usable) == 0 {
--- a/router/relay/origin.go
+++ b/router/relay/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/samber/lo"
 
@@ -69,17 +70,18 @@
 	return withBuild(list, j.build)
 }
 
-// withRecordableBuild leaves out endpoints at which a stream can't begin now, unless there are
-// no others.
-func (j *job) withRecordableBuild(list []*site.Endpoint) []*site.Endpoint {
+// withBuildToBegin leaves out endpoints at which a stream should not begin now, unless there
+// are no others.
+func (j *job) withBuildToBegin(list []*site.Endpoint) []*site.Endpoint {
 	if j.hasBuild || !j.isResumable() {
 		return list
 	}
-	build, ok := j.r.cfg.Origins.OnlyBuild(j.serviceName)
+	builds, ok := j.r.cfg.Origins.BuildsToBegin(j.serviceName)
 	if !ok {
 		return list
 	}
-	if only := withBuild(list, build); len(only) > 0 {
+	only := lo.Filter(list, func(e *site.Endpoint, _ int) bool { return slices.Contains(builds, e.Build) })
+	if len(only) > 0 {
 		return only
 	}
 	return list
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -68,9 +68,9 @@
 	Renew(service, id, build string, at time.Duration) time.Duration
 	// Find returns the build that began the stream of a request.
 	Find(ctx context.Context, service, id string) (string, error)
-	// OnlyBuild returns the only build at which streams of a service may begin now, and
+	// BuildsToBegin returns the builds at which streams of a service should begin now, and
 	// false if they may begin at any.
-	OnlyBuild(service string) (string, bool)
+	BuildsToBegin(service string) ([]string, bool)
 }
 
 // Peers are the other hosts.
--- a/router/watch/entries.go
+++ b/router/watch/entries.go
@@ -75,6 +75,7 @@
 	}
 	w.entriesMark.update(feed.ReadMark{Era: e.Era, Next: e.Next, Started: started, Own: true})
 	w.updateMirror(w.endpoints.apply(e, w.cfg.Clock.Boot()), e.Next)
+	w.cfg.Mirror.MarkEndpointsCurrent(started)
 }
 
 // updateMirror copies the endpoint list to the mirror if it has changed or if the
@@ -115,4 +116,5 @@
 	if list != nil {
 		w.updateMirror(w.endpoints.replace(list, read.Era, w.cfg.Clock.Boot()), 0)
 	}
+	w.cfg.Mirror.MarkEndpointsCurrent(read.Started)
 }
