--- a/core/coord/taint/replay_test.go
+++ b/core/coord/taint/replay_test.go
@@ -176,7 +176,7 @@
 		r.interval = []int{100, 500, 1000, 2000, 4000, 6000}[rnd.IntN(6)]
 		r.attempts = 1 + rnd.IntN(2)
 		// Each part behind another changes with it, or more often.
-		shuffled := rnd.IntN(3) == 0
+		shuffled, moving := rnd.IntN(3) == 0, rnd.IntN(4) == 0
 		for n := range 60 {
 			prompt := make([]string, length)
 			every := 1
@@ -187,7 +187,11 @@
 				prompt[depth] = fmt.Sprintf("p%d-%d", depth, n/perValue/every)
 				every *= perValue
 			}
-			prompt[position] = "bad"
+			at := position
+			if moving {
+				at = rnd.IntN(length)
+			}
+			prompt[at] = "bad"
 			r.prompts = append(r.prompts, prompt)
 		}
 		if shuffled {
@@ -199,8 +203,8 @@
 			}
 		}
 		r.run()
-		name := fmt.Sprintf("seed %d: %d hosts, part %d of %d, %d a value, each %d ms, shuffled %v, %d attempts, sound %v",
-			seed, len(r.hosts), position, length, perValue, r.interval, shuffled, r.attempts, len(r.sound) > 0)
+		name := fmt.Sprintf("seed %d: %d hosts, part %d of %d, %d a value, each %d ms, shuffled %v, moving %v, %d attempts, sound %v",
+			seed, len(r.hosts), position, length, perValue, r.interval, shuffled, moving, r.attempts, len(r.sound) > 0)
 		if late := r.late(); late > maxLate {
 			t.Errorf("%s: %d crashes, %d late", name, len(r.crashes), late)
 		}
