--- a/core/coord/taint/decide.go
+++ b/core/coord/taint/decide.go
@@ -64,12 +64,13 @@
 func chooseRejected(candidates []*candidate) map[string][]string {
 	rejected := make(map[string][]string)
 	for len(candidates) > 0 {
-		chosen := slices.MinFunc(candidates, (*candidate).compareOpen)
-		if len(chosen.open) < maxCrashes {
+		most := slices.MinFunc(candidates, (*candidate).compareOpen)
+		if len(most.open) < maxCrashes {
 			break
 		}
-		for most, i := chosen, 0; i < len(candidates); i++ {
-			if c := candidates[i]; c.explains(most) && (chosen == most || c.compare(chosen) < 0) {
+		chosen := most
+		for _, c := range candidates {
+			if c.explains(most) && (chosen == most || c.compare(chosen) < 0) {
 				chosen = c
 			}
 		}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -38,14 +38,14 @@
 	return &eventReader{src: src, held: heldBytes{limit: &j.r.held}}
 }
 
-// next returns the next event, including the blank line that ends it. It returns
-// io.EOF if the stream ended after a complete event.
+// next returns the next event, including the blank line that ends it. The event is valid until
+// the next call. It returns io.EOF if the stream ended after a complete event.
 func (e *eventReader) next() ([]byte, error) {
+	e.shrink()
 	for {
 		if n := eventEnd(e.buf); n > 0 {
 			event := e.buf[:n]
 			e.buf = e.buf[n:]
-			e.shrink()
 			return event, nil
 		}
 		if len(e.buf) > maxEvent {
@@ -79,7 +79,7 @@
 	return nil
 }
 
-// shrink gives up the large buffer of an event that is complete.
+// shrink gives up the large buffer of the last event.
 func (e *eventReader) shrink() {
 	if e.held.used > freeHeldBytes && len(e.buf) < eventChunk {
 		e.buf = bytes.Clone(e.buf)
