--- a/core/coord/hubs/hubs.go
+++ b/core/coord/hubs/hubs.go
@@ -86,6 +86,28 @@
 	return len(t.hosts)
 }
 
+// Host returns the registered host with a name.
+func (t *Table) Host(name string) (feed.Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.hosts[name]
+	return h, ok
+}
+
+// Domains returns the failure domains of all registered hosts.
+func (t *Table) Domains() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lo.Uniq(lo.MapToSlice(t.hosts, func(_ string, h feed.Host) string { return h.FailureDomain }))
+}
+
+// Members returns the number of registered hosts in this host's failure domain.
+func (t *Table) Members() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lo.CountBy(lo.Values(t.hosts), func(h feed.Host) bool { return h.FailureDomain == t.cfg.Self.FailureDomain })
+}
+
 // MarkFailed records that a host did not respond.
 func (t *Table) MarkFailed(name string, now time.Duration) {
 	t.mu.Lock()
--- /dev/null
+++ b/core/coord/quota/pool.go
@@ -0,0 +1,428 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"cicadastand.dev/core/coord/limit"
+	"cicadastand.dev/core/state/site"
+)
+
+// PoolConfig configures a Pool.
+type PoolConfig struct {
+	// Domain is the failure domain of this host.
+	Domain string
+	// Domains returns the failure domains of all registered hosts, and Members the number of
+	// registered hosts of this one.
+	Domains func() []string
+	Members func() int
+	// Limit returns the limit of an account.
+	Limit     func(account string) (site.Limit, bool)
+	Tolerance Tolerance
+	// Report is called when another domain is no longer heard, and when it is heard again.
+	Report func(Change)
+}
+
+// Change says that another failure domain became silent, or is heard again.
+type Change struct {
+	Domain string
+	Silent bool
+}
+
+// Pool is the side of a hub. It holds the buckets of its failure domain. It is safe for
+// concurrent use.
+//
+// Lock order: Pool.mu is a leaf.
+type Pool struct {
+	cfg PoolConfig
+	mu  sync.Mutex
+	// since is when this host began to act as a hub; its buckets were empty then. acted is
+	// when it last did.
+	since   time.Duration
+	acted   time.Duration
+	started bool
+	// members holds when each host of the domain last reported.
+	members  map[string]time.Duration
+	accounts map[string]*bucket
+	domains  map[string]*domain
+}
+
+// bucket is the state of one account.
+type bucket struct {
+	limit site.Limit
+	level float64
+	at    time.Duration
+	// share is the domain's part of the limit, from 0 to 1. settled is the share when the other
+	// domains were last heard in time.
+	share   float64
+	settled float64
+	// demand is the demand of the domain as of the last Refresh.
+	demand    float64
+	hosts     map[string]*member
+	largest   float64
+	largestAt time.Duration
+	usedAt    time.Duration
+}
+
+// member is the use of an account by one host of the domain.
+type member struct {
+	demand float64
+	spent  float64
+	// lower is set if the last report had a lower total: the host was restarted, or the report
+	// was overtaken by a later one.
+	lower   bool
+	seen    time.Duration
+	granted float64
+}
+
+// domain is what is known of another failure domain.
+type domain struct {
+	sources map[string]*source
+	heard   time.Duration
+	// delivered is when a message to a host of that domain last succeeded.
+	delivered    time.Duration
+	hasDelivered bool
+	silent       bool
+}
+
+// source is the demand that one hub or host of another domain has reported.
+type source struct {
+	demand map[string]float64
+	at     time.Duration
+}
+
+// NewPool returns a pool without buckets.
+func NewPool(cfg PoolConfig) *Pool {
+	return &Pool{cfg: cfg, members: make(map[string]time.Duration), accounts: make(map[string]*bucket), domains: make(map[string]*domain)}
+}
+
+// Charge charges a request to an account. Negative units are returned to it.
+func (p *Pool) Charge(account string, units float64, now time.Duration) Reply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.act(now)
+	b, ok := p.bucket(account, now)
+	if !ok {
+		return Reply{Unknown: true}
+	}
+	b.usedAt = now
+	perSecond := b.share * b.limit.Rate
+	if units < 0 {
+		b.level = min(p.capacity(b), b.level-units)
+		return Reply{Charged: true, Level: b.level, Share: perSecond}
+	}
+	if units >= b.largest || now-b.largestAt > largestFor {
+		b.largest, b.largestAt = units, now
+	}
+	need := p.need(b, units)
+	if b.level <= need {
+		return Reply{Wait: after(need-b.level, perSecond), Level: b.level, Share: perSecond}
+	}
+	b.level -= units
+	return Reply{Charged: true, Level: b.level, Share: perSecond}
+}
+
+// need returns the level above which a request is charged. It is 0, so that the largest request
+// fits, unless one such request in each domain would exceed the tolerance.
+func (p *Pool) need(b *bucket, units float64) float64 {
+	const most = 0.95 // a full bucket is enough for any request
+	excess := units - p.cfg.Tolerance.units(b.limit)/float64(max(1, len(p.cfg.Domains())))
+	return max(0, min(excess, most*p.capacity(b)))
+}
+
+// Receive records the uses that a host of the domain reports, and returns its grants.
+func (p *Pool) Receive(host string, uses []Use, now time.Duration) []Grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.act(now)
+	p.members[host] = now
+	grants := make([]Grant, 0, len(uses))
+	for _, u := range uses {
+		b, ok := p.bucket(u.Account, now)
+		if !ok {
+			continue
+		}
+		if u.Demand > 0 {
+			b.usedAt = now
+		}
+		m, reported := b.hosts[host]
+		if !reported || now-m.seen > memberTimeout {
+			m = &member{spent: u.Spent}
+			b.hosts[host] = m
+			reported = false
+		}
+		b.level -= m.charge(u.Spent)
+		m.demand, m.seen, m.granted = max(0, u.Demand), now, 0
+		if reported && !m.lower && b.level > p.capacity(b)/2 {
+			m.granted = b.grant(m, now)
+		}
+		grants = append(grants, Grant{Account: u.Account, PerSecond: m.granted})
+	}
+	return grants
+}
+
+// charge returns the units that the host has spent since its last report. They are at most what
+// it was granted: more was granted by another hub, which charges it.
+func (m *member) charge(total float64) float64 {
+	if total < m.spent {
+		// A restart shows in two reports, one that was overtaken in one only.
+		if m.lower {
+			m.spent = total
+		}
+		m.lower = !m.lower
+		return 0
+	}
+	m.lower = false
+	spent := min(total-m.spent, m.granted*(GrantLife+grantSpan).Seconds())
+	m.spent = total
+	return spent
+}
+
+// grant returns the units per second that a host may spend without asking: a part by its demand.
+func (b *bucket) grant(m *member, now time.Duration) float64 {
+	sum := 0.0
+	for _, o := range b.hosts {
+		if now-o.seen <= memberTimeout {
+			sum += o.demand
+		}
+	}
+	if sum <= 0 {
+		return 0
+	}
+	return min(grantShare*b.share*b.limit.Rate*m.demand/sum, grantGrowth*m.demand)
+}
+
+// ReceiveDomain records the demand in another failure domain. from is the host that reports for
+// itself, or empty for the hub of the domain.
+func (p *Pool) ReceiveDomain(name, from string, uses []Use, now time.Duration) {
+	if name == p.cfg.Domain {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.domain(name)
+	d.heard = now
+	d.sources[from] = &source{at: now, demand: lo.SliceToMap(uses, func(u Use) (string, float64) { return u.Account, max(0, u.Demand) })}
+}
+
+// Delivered records that a host of another failure domain has received a message.
+func (p *Pool) Delivered(name string, now time.Duration) {
+	if name == p.cfg.Domain {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.domain(name)
+	d.delivered, d.hasDelivered = now, true
+}
+
+func (p *Pool) domain(name string) *domain {
+	d, ok := p.domains[name]
+	if !ok {
+		d = &domain{sources: make(map[string]*source)}
+		p.domains[name] = d
+	}
+	return d
+}
+
+// Refresh computes the shares from the demand of all domains, and removes the state of idle
+// accounts. It is called before each status message, so that this domain splits the limits by
+// the demand that it reports to the others.
+func (p *Pool) Refresh(now time.Duration) {
+	for _, c := range p.refresh(now) {
+		p.cfg.Report(c)
+	}
+}
+
+func (p *Pool) refresh(now time.Duration) []Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.act(now)
+	changes := p.updateDomains(now)
+	maps.DeleteFunc(p.members, func(_ string, at time.Duration) bool { return now-at > memberTimeout })
+	for name, b := range p.accounts {
+		l, ok := p.cfg.Limit(name)
+		if !ok {
+			delete(p.accounts, name)
+			continue
+		}
+		p.advance(b, now)
+		p.setLimit(b, l)
+		b.demand = 0
+		for host, m := range b.hosts {
+			if now-m.seen > memberTimeout {
+				delete(b.hosts, host)
+				continue
+			}
+			b.demand += m.demand
+		}
+		p.setShare(name, b, now)
+		if now-b.usedAt > idleTimeout && b.level >= p.capacity(b) {
+			delete(p.accounts, name)
+		}
+	}
+	return changes
+}
+
+// updateDomains drops the demand of hosts that left other domains, and returns the domains that
+// became silent or are heard again.
+func (p *Pool) updateDomains(now time.Duration) []Change {
+	var changes []Change
+	for name, d := range p.domains {
+		if silent := d.silentFor(now) > silentAfter; silent != d.silent {
+			d.silent = silent
+			changes = append(changes, Change{Domain: name, Silent: silent})
+		}
+		if !d.silent {
+			maps.DeleteFunc(d.sources, func(_ string, s *source) bool { return now-s.at > sourceTimeout })
+		}
+	}
+	return changes
+}
+
+// silentFor returns the time since messages last passed in both directions. Without the way
+// there, the other domain would not know of a growing demand here.
+func (d *domain) silentFor(now time.Duration) time.Duration {
+	if !d.hasDelivered {
+		return math.MaxInt64
+	}
+	return now - min(d.heard, d.delivered)
+}
+
+// DomainUses returns the demand of this domain for the other ones.
+func (p *Pool) DomainUses() []Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Use
+	for name, b := range p.accounts {
+		if b.demand > 0 {
+			out = append(out, Use{Account: name, Demand: b.demand})
+		}
+	}
+	return out
+}
+
+// Len returns the number of accounts with a bucket.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.accounts)
+}
+
+// act starts anew, with empty buckets, if this host has not acted as a hub for a while.
+func (p *Pool) act(now time.Duration) {
+	if !p.started || now-p.acted > memberTimeout {
+		p.started, p.since = true, now
+		clear(p.accounts)
+		clear(p.members)
+	}
+	p.acted = max(p.acted, now)
+}
+
+// bucket returns the bucket of an account, filled up to now. It returns false if the account has
+// no limit.
+func (p *Pool) bucket(name string, now time.Duration) (*bucket, bool) {
+	l, ok := p.cfg.Limit(name)
+	if !ok {
+		return nil, false
+	}
+	b, ok := p.accounts[name]
+	if !ok {
+		b = &bucket{limit: l, at: p.since, hosts: make(map[string]*member), usedAt: now}
+		b.settled = p.split(name, b)
+		b.share = b.settled
+		p.accounts[name] = b
+		p.setShare(name, b, now)
+	}
+	p.advance(b, now)
+	p.setLimit(b, l)
+	return b, true
+}
+
+// advance fills the bucket.
+func (p *Pool) advance(b *bucket, now time.Duration) {
+	if now <= b.at {
+		return
+	}
+	b.level = min(p.capacity(b), b.level+b.share*b.limit.Rate*(now-b.at).Seconds())
+	b.at = now
+}
+
+func (p *Pool) setLimit(b *bucket, l site.Limit) {
+	if b.limit == l {
+		return
+	}
+	b.limit = l
+	b.level = min(b.level, p.capacity(b))
+}
+
+// capacity returns the highest level of a bucket: the share of the burst, and of the part of the
+// tolerance that one request per domain leaves.
+func (p *Pool) capacity(b *bucket) float64 {
+	margin := marginShare * max(0, p.cfg.Tolerance.units(b.limit)-b.largest*float64(len(p.cfg.Domains())))
+	return b.share * max(b.limit.Burst+margin, b.limit.Rate*minSpan.Seconds())
+}
+
+// setShare sets the domain's share of a limit. A smaller share takes its part of the level away,
+// a larger one adds nothing.
+func (p *Pool) setShare(name string, b *bucket, now time.Duration) {
+	share := p.split(name, b)
+	others := p.others()
+	worst := time.Duration(0)
+	for _, o := range others {
+		if d, ok := p.domains[o]; ok {
+			worst = max(worst, d.silentFor(now))
+		}
+	}
+	switch {
+	case worst <= freshFor:
+		b.settled = share
+	case worst > silentAfter:
+		// The other domains don't know of the demand here.
+		share = min(share, b.settled)
+	}
+	share *= p.quorum(now)
+	p.advance(b, now)
+	if share < b.share && b.level > 0 {
+		b.level *= share / b.share
+	}
+	b.share = share
+}
+
+// quorum returns 1 if most hosts of the domain report to this hub, else the part that does. While
+// hosts disagree on the hub, their hubs don't spend the share twice.
+func (p *Pool) quorum(now time.Duration) float64 {
+	all := max(1, p.cfg.Members())
+	n := lo.CountBy(lo.Values(p.members), func(at time.Duration) bool { return now-at <= memberTimeout })
+	if n = max(1, n); 2*n > all {
+		return 1
+	}
+	return float64(n) / float64(all)
+}
+
+func (p *Pool) others() []string {
+	return lo.Without(p.cfg.Domains(), p.cfg.Domain)
+}
+
+// split returns this domain's part of a limit by the demand of all domains. The parts are even
+// while another domain was never heard.
+func (p *Pool) split(name string, b *bucket) float64 {
+	others := p.others()
+	slices.Sort(others)
+	floor := minDemand * b.limit.Rate
+	demands := []limit.Demand{{Host: p.cfg.Domain, Amount: max(floor, headroom*b.demand)}}
+	for _, o := range others {
+		d, ok := p.domains[o]
+		if !ok || len(d.sources) == 0 {
+			return 1 / float64(len(others)+1)
+		}
+		sum := lo.SumBy(lo.Values(d.sources), func(s *source) float64 { return s.demand[name] })
+		demands = append(demands, limit.Demand{Host: o, Amount: max(floor, headroom*sum)})
+	}
+	return limit.Split(b.limit.Rate, demands)[0].Amount / b.limit.Rate
+}
--- a/core/state/site/site.go
+++ b/core/state/site/site.go
@@ -116,6 +116,43 @@
 	HasRank bool
 	// Isolated accounts share no cached prompt parts with other accounts.
 	Isolated bool
+	Limit    Limit
+}
+
+// Unit is the unit of an account's limit.
+type Unit string
+
+// The units of limits.
+const (
+	UnitRequests Unit = "requests"
+	UnitTokens   Unit = "tokens"
+)
+
+// Limit is the limit of a client account over all hosts.
+type Limit struct {
+	// Rate is in units per second; the account has no limit if it is 0.
+	Rate float64
+	// Burst is the number of units that may be spent at once. If it is 0, requests fit one
+	// after the other at the rate.
+	Burst float64
+	Unit  Unit
+	// UncachedTokens is the cost in tokens of a request that does not state its usage.
+	UncachedTokens int
+}
+
+// IsSet reports whether there is a limit.
+func (l Limit) IsSet() bool { return l.Rate > 0 }
+
+// Cost returns the cost of a request, given the tokens that it states; 0 if it states none.
+func (l Limit) Cost(tokens int) float64 {
+	switch {
+	case l.Unit != UnitTokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	default:
+		return float64(max(0, l.UncachedTokens))
+	}
 }
 
 // Limits bound what a client may send.
@@ -135,6 +172,7 @@
 	CacheStores []*CacheStore
 
 	accounts    map[string]*Account
+	limits      map[string]Limit
 	hasAccounts bool
 	routes      map[string][]*Route
 	isolated    map[string]struct{}
@@ -167,11 +205,17 @@
 		Services:    make(map[string]*Service, len(p.Services)),
 		Limits:      p.Limits,
 		accounts:    p.Accounts,
+		limits:      make(map[string]Limit),
 		hasAccounts: p.Accounts != nil,
 		routes:      make(map[string][]*Route),
 		isolated:    lo.Keyify(p.Isolated),
 		sharedScope: sharedScope(p.Isolated),
 	}
+	for _, a := range p.Accounts {
+		if a.Limit.IsSet() {
+			c.limits[a.Name] = a.Limit
+		}
+	}
 	for _, s := range p.Services {
 		c.Services[s.Name] = s
 		if s.CacheStore != nil {
@@ -224,6 +268,12 @@
 	return a, ok
 }
 
+// Limit returns the limit of the account with a name. It returns false if there is none.
+func (c *Config) Limit(account string) (Limit, bool) {
+	l, ok := c.limits[account]
+	return l, ok
+}
+
 // Endpoint is one incarnation of an endpoint: a restarted process is a new one.
 type Endpoint struct {
 	// ID identifies the incarnation.
--- a/router/hosted/cluster_test.go
+++ b/router/hosted/cluster_test.go
@@ -155,6 +155,9 @@
 budget_extra = 40
 lease_ms = 600
 version_ms = %d
+quota_window_s = 8
+quota_overage = 0.1
+quota_slack = 140000
 [platform]
 address = %q
 `, i, i, peers.Port(), peers.Port(), callers, ready, c.revokeTime.Milliseconds(), c.versionTime.Milliseconds(), store)
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -21,6 +21,7 @@
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/coord/reach"
 	"cicadastand.dev/core/coord/room"
 	"cicadastand.dev/core/coord/taint"
@@ -244,6 +245,7 @@
 		Origins:          h.keep,
 		Reach:            h.reach,
 		Peers:            h,
+		Quota:            h,
 		IsPartitioned:    h.isPartitioned,
 		FailureDomain:    s.FailureDomain,
 		OldWeightsGrace:  s.Bounds.OldWeightsGrace,
@@ -282,6 +284,8 @@
 		Room:             h.room,
 		Lease:            h,
 		Serve:            h.relay.ServeForwarded,
+		Tolerance:        quota.Tolerance{Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack},
+		HasRegistry:      func() bool { return h.registrar.HasRead() },
 		Interval:         shareInterval,
 		Logger:           cfg.Logger,
 		Metrics:          h.metrics,
@@ -364,6 +368,16 @@
 	return h.share.Place(ctx, q)
 }
 
+// Spend charges a request to the limit of its account.
+func (h *Host) Spend(ctx context.Context, account string, limit site.Limit, units float64) quota.Decision {
+	return h.share.Spend(ctx, account, limit, units)
+}
+
+// ReturnUnits gives back the units of a request that has not run.
+func (h *Host) ReturnUnits(account string, d quota.Decision, units float64) {
+	h.share.ReturnUnits(account, d, units)
+}
+
 // isPartitioned reports whether this host receives nothing from any other host.
 func (h *Host) isPartitioned() bool { return h.share.IsPartitioned() }
 
--- a/router/relay/forward.go
+++ b/router/relay/forward.go
@@ -38,9 +38,12 @@
 	r := j.r
 	j.sends++
 	j.unsent = 0
+	ranBefore := j.mayRunElsewhere
+	j.mayRunElsewhere = true
 	resp, err := r.cfg.Peers.Forward(ctx, j.forwarded())
 	switch {
 	case errors.Is(err, call.ErrNotForwarded):
+		j.mayRunElsewhere = ranBefore
 		return false, newRejection(http.StatusServiceUnavailable, retryAfterBusy+j.spread(retryAfterBusy), "%v: %v", errCutOff, err)
 	case err != nil && ctx.Err() != nil:
 		return false, errTimeout
@@ -54,6 +57,9 @@
 		}
 	}()
 	j.via = resp.Host
+	if saysNotRun(resp.Status) {
+		j.mayRunElsewhere = ranBefore
+	}
 	r.forwardedTotal.Inc()
 	if resp.Status == http.StatusOK && j.route.Kind == site.Stream {
 		return j.forwardStream(ctx, resp)
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/mirror"
@@ -98,6 +99,12 @@
 	// confirmation is in progress for the endpoint that broke off the last attempt; nil if
 	// none is.
 	confirmation *confirmation
+	// charged is the decision on the account's limit, and units the cost of the request in
+	// units of the limit; 0 if the account has none.
+	charged quota.Decision
+	units   float64
+	// mayRunElsewhere is set once another host may have run the request.
+	mayRunElsewhere bool
 	// permitWaited is how long the request waited within endpoints' request limits.
 	permitWaited time.Duration
 
@@ -335,6 +342,7 @@
 // finish logs the outcome of the request and updates the metrics.
 func (j *job) finish() {
 	j.held.release()
+	j.returnUnits()
 	took := j.r.cfg.Clock.Now().Sub(j.start)
 	j.r.latency.Update(took.Seconds())
 	j.r.cfg.Metrics.GetOrCreateCounter(`cicada_relay_requests_total{outcome="` + j.outcome + `"}`).Inc()
@@ -349,6 +357,7 @@
 	if j.account != nil {
 		args = append(args, "account", j.account.Name)
 	}
+	args = append(args, j.quotaArgs()...)
 	if j.via != "" {
 		args = append(args, "via", j.via)
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -19,6 +19,7 @@
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/coord/reach"
 	"cicadastand.dev/core/coord/room"
 	"cicadastand.dev/core/coord/taint"
@@ -26,6 +27,7 @@
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
 	"cicadastand.dev/core/state/mirror"
+	"cicadastand.dev/core/state/site"
 	"cicadastand.dev/router/conns"
 )
 
@@ -80,6 +82,14 @@
 	Forward(ctx context.Context, req call.Forwarded) (*call.ForwardedResponse, error)
 }
 
+// Quota charges requests to the limits of client accounts.
+type Quota interface {
+	// Spend charges units to the limit of an account, or says that the request is rejected.
+	Spend(ctx context.Context, account string, limit site.Limit, units float64) quota.Decision
+	// ReturnUnits gives back the units of a request that was charged and has not run.
+	ReturnUnits(account string, d quota.Decision, units float64)
+}
+
 // Config holds the dependencies and settings of a Relay.
 type Config struct {
 	Clock      Clock
@@ -112,6 +122,7 @@
 	// in its place.
 	Reach *reach.Table
 	Peers Peers
+	Quota Quota
 	// IsPartitioned reports whether this host receives no messages from other hosts, so
 	// that it is probably partitioned. Other hosts may then serve requests that it can't.
 	IsPartitioned func() bool
@@ -224,5 +235,9 @@
 		return
 	}
 	defer r.buffered.Add(-int64(len(j.body)))
+	if fault := j.charge(); fault != nil {
+		j.reject(fault)
+		return
+	}
 	j.run()
 }
--- a/router/share/send.go
+++ b/router/share/send.go
@@ -47,6 +47,9 @@
 	s.recordPeerContact()
 	if !m.status.GetForDomain() && !m.status.GetDirect() {
 		s.handleReply(m.to.Name, reply)
+		s.receiveGrants(m.to, reply, sent)
+	} else {
+		s.pool.Delivered(m.to.FailureDomain, sent)
 	}
 	s.receiveReads(reply, sent)
 }
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -24,6 +24,7 @@
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
+	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/coord/room"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
@@ -88,6 +89,10 @@
 	// Serve serves a request of a client of another host. It returns call.ErrNotForwarded if
 	// the request has not run, because this host can't serve it.
 	Serve func(ctx context.Context, req call.Forwarded, w http.ResponseWriter) error
+	// Tolerance is by how much client accounts may exceed their limits.
+	Tolerance quota.Tolerance
+	// HasRegistry reports whether the registry of hosts was read; nil if it always was.
+	HasRegistry func() bool
 	// Interval is the time between status messages.
 	Interval time.Duration
 	Logger   hclog.Logger
@@ -119,6 +124,10 @@
 	server   *grpc.Server
 	listener net.Listener
 	peers    *peers
+	// pool holds the limits of client accounts while this host is a hub, spender what it may
+	// spend of them.
+	pool    *quota.Pool
+	spender *quota.Spender
 
 	mu      sync.Mutex
 	leaving bool
@@ -134,8 +143,14 @@
 	// unable holds when peers could not serve a forwarded request.
 	unable map[string]time.Duration
 
+	// answeredBy is the hub that last answered a status of this host, and answeredAt when.
+	answeredBy feed.Host
+	answeredAt time.Duration
+	spending   askState
+
 	failures *metrics.Counter
 	unplaced *metrics.Counter
+	quota    quotaCounters
 }
 
 // rpcServer implements the gRPC methods that peers call.
@@ -146,7 +161,7 @@
 
 // New returns a service that has not started.
 func New(cfg Config) *Service {
-	return &Service{
+	s := &Service{
 		cfg:               cfg,
 		peers:             newPeers(),
 		unable:            make(map[string]time.Duration),
@@ -154,7 +169,10 @@
 		lastPeerContact:   -2 * hubRoleTimeout,
 		failures:          cfg.Metrics.NewCounter("cicada_share_failures_total"),
 		unplaced:          cfg.Metrics.NewCounter("cicada_share_unplaced_total"),
+		answeredAt:        -hubRoleTimeout,
 	}
+	s.initQuota()
+	return s
 }
 
 // Listen opens the listener and starts the gRPC server for peers.
@@ -243,6 +261,11 @@
 // status of this host to all other hosts.
 func (s *Service) Announce(ctx context.Context) {
 	now := s.cfg.Clock.Boot()
+	if s.IsHub() {
+		s.pool.Receive(s.cfg.Self.Name, s.spender.Uses(now), now)
+		s.pool.Refresh(now)
+	}
+	s.sendReturned(ctx)
 	own := s.cfg.Hubs.OwnHub(now)
 	if own.Name != s.cfg.Self.Name {
 		s.send(ctx, own, s.hostStatus(own.Name))
@@ -317,6 +340,7 @@
 		}
 	}
 	if in.GetForDomain() || in.GetDirect() {
+		s.receiveDomainUses(in, now)
 		out := &loadpb.Heard{}
 		s.addReads(out, in, func(m feed.ReadMark) bool { return m.Own })
 		return out, nil
@@ -350,6 +374,7 @@
 		Brittle:    s.brittle(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(in.GetHost(), now), placementMessage),
 	}
+	out.Grants = grantMessages(s.pool.Receive(in.GetHost(), usesFrom(in.GetUses()), now))
 	s.addReads(out, in, func(feed.ReadMark) bool { return true })
 	return out
 }
@@ -359,6 +384,7 @@
 	out := s.baseStatus(to)
 	out.Work = workMessage(s.cfg.Loads.Own(s.cfg.Clock.Boot()))
 	out.Demand = demandMessage(s.cfg.Loads.Demand(s.cfg.Clock.Boot()))
+	out.Uses = useMessages(s.spender.Uses(s.cfg.Clock.Boot()))
 	return out
 }
 
@@ -369,6 +395,7 @@
 	now := s.cfg.Clock.Boot()
 	out.Work = workMessage(s.cfg.Loads.DomainTotal(now))
 	out.Demand = demandMessage(s.cfg.Loads.DomainDemand(now))
+	out.Uses = useMessages(s.pool.DomainUses())
 	return out
 }
 
