--- a/core/coord/quota/pool.go
+++ b/core/coord/quota/pool.go
@@ -50,6 +50,10 @@
 	members  map[string]time.Duration
 	accounts map[string]*bucket
 	domains  map[string]*domain
+	// others are the other failure domains, and quorum is the part of the domain that reports to
+	// this hub, as of the last Refresh.
+	others []string
+	quorum float64
 }
 
 // bucket is the state of one account.
@@ -143,7 +147,7 @@
 // fits, unless one such request in each domain would exceed the tolerance.
 func (p *Pool) need(b *bucket, units float64) float64 {
 	const most = 0.95 // a full bucket is enough for any request
-	excess := units - p.cfg.Tolerance.units(b.limit)/float64(max(1, len(p.cfg.Domains())))
+	excess := units - p.cfg.Tolerance.units(b.limit)/float64(len(p.others)+1)
 	return max(0, min(excess, most*p.capacity(b)))
 }
 
@@ -260,7 +264,7 @@
 	defer p.mu.Unlock()
 	p.act(now)
 	changes := p.updateDomains(now)
-	maps.DeleteFunc(p.members, func(_ string, at time.Duration) bool { return now-at > memberTimeout })
+	p.countHosts(now)
 	for name, b := range p.accounts {
 		l, ok := p.cfg.Limit(name)
 		if !ok {
@@ -335,6 +339,7 @@
 		p.started, p.since = true, now
 		clear(p.accounts)
 		clear(p.members)
+		p.countHosts(now)
 	}
 	p.acted = max(p.acted, now)
 }
@@ -397,7 +402,7 @@
 	} else {
 		b.ceiling = 0
 	}
-	share *= p.quorum(now)
+	share *= p.quorum
 	p.advance(b, now)
 	b.share = share
 	b.level = min(b.level, p.capacity(b))
@@ -429,7 +434,7 @@
 }
 
 func (p *Pool) oldest(now time.Duration, at func(*domain) time.Duration) time.Duration {
-	for _, o := range p.others() {
+	for _, o := range p.others {
 		if d, ok := p.domains[o]; ok {
 			now = min(now, at(d))
 		}
@@ -437,32 +442,29 @@
 	return now
 }
 
-// quorum returns 1 if most hosts of the domain report to this hub, else the part that does. While
-// hosts disagree on the hub, their hubs don't spend the share twice.
-func (p *Pool) quorum(now time.Duration) float64 {
-	all := max(1, p.cfg.Members())
-	n := lo.CountBy(lo.Values(p.members), func(at time.Duration) bool { return now-at <= memberTimeout })
-	if n = max(1, n); 2*n > all {
-		return 1
+// countHosts updates what depends on the registered hosts. The quorum is 1 if most hosts of the
+// domain report to this hub, else the part that does. While hosts disagree on the hub, their hubs
+// don't spend the share twice.
+func (p *Pool) countHosts(now time.Duration) {
+	maps.DeleteFunc(p.members, func(_ string, at time.Duration) bool { return now-at > memberTimeout })
+	p.others = lo.Without(p.cfg.Domains(), p.cfg.Domain)
+	slices.Sort(p.others)
+	all, n := max(1, p.cfg.Members()), max(1, len(p.members))
+	p.quorum = 1
+	if 2*n <= all {
+		p.quorum = float64(n) / float64(all)
 	}
-	return float64(n) / float64(all)
-}
-
-func (p *Pool) others() []string {
-	return lo.Without(p.cfg.Domains(), p.cfg.Domain)
 }
 
 // split returns this domain's part of a limit by the demand of all domains. The parts are even
 // while another domain was never heard.
 func (p *Pool) split(name string, b *bucket, demand float64) float64 {
-	others := p.others()
-	slices.Sort(others)
 	floor := max(minDemand*b.limit.Rate, min(maxFloor*b.limit.Rate, b.largest/demandSpan.Seconds()))
 	demands := []limit.Demand{{Host: p.cfg.Domain, Amount: max(floor, headroom*demand)}}
-	for _, o := range others {
+	for _, o := range p.others {
 		d, ok := p.domains[o]
 		if !ok || len(d.sources) == 0 {
-			return 1 / float64(len(others)+1)
+			return 1 / float64(len(p.others)+1)
 		}
 		sum := lo.SumBy(lo.Values(d.sources), func(s *source) float64 { return s.demand[name] })
 		demands = append(demands, limit.Demand{Host: o, Amount: max(floor, headroom*sum)})
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -23,7 +23,6 @@
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
-	"cicadastand.dev/core/state/mirror"
 	"cicadastand.dev/core/state/site"
 	"cicadastand.dev/router/share"
 )
@@ -79,7 +78,7 @@
 		table.Add(h)
 	}
 	s := share.New(share.Config{
-		Clock: clock.Real{}, Self: self, Hubs: table, Store: emptyStore{}, Mirror: mirror.New(), Loads: load.New(time.Second),
+		Clock: clock.Real{}, Self: self, Hubs: table, Store: emptyStore{}, Mirror: limitedMirror(t), Loads: load.New(time.Second),
 		Poison: poison.New(poison.Config{Retention: time.Second}), Taint: taint.New(taint.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(), Room: room.New(), Lease: noLease{}, Serve: serveTeapot,
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: set,
 	})
