Reject the excess of an account at the hosts

While the demand is over twice a domain's share, hosts wait with the next question for as long as the bucket needs for their requests. A hold applies to requests at least as large as the one that was rejected.

--- a/core/coord/quota/model_test.go
+++ b/core/coord/quota/model_test.go
@@ -46,6 +46,7 @@
 	ran     map[time.Duration]float64
 	refused int
 	offered int
+	asked   int
 }
 
 func newSystem(seed int64, limit site.Limit) *system {
@@ -138,6 +139,7 @@
 	s.offered++
 	d := n.spender.Take("a", s.limit, units, s.now)
 	if d.Action == quota.Ask {
+		s.asked++
 		hub := s.hub(n.domain)
 		switch {
 		case hub != n && (s.frozen(hub) || s.rnd.Float64() < s.loss), s.now < n.started+time.Second:
@@ -273,6 +275,26 @@
 	}
 }
 
+// An account asks for 7 times its limit. The limit is used up, and most of the excess is rejected
+// without a call to a hub, which would be saturated by one for each request.
+func TestOverloadIsRejectedAtTheHosts(t *testing.T) {
+	for limit, cost := range map[site.Limit]float64{limits[0]: costs[1], {Rate: 100, Unit: site.UnitRequests}: 1} {
+		s := newSystem(1, limit)
+		s.run(15*time.Second, func(time.Duration) float64 { return 7 * limit.Rate }, func() float64 { return cost },
+			func() *node { return s.nodes[s.rnd.Intn(len(s.nodes))] }, func() {
+				if s.now == 5*time.Second {
+					s.offered, s.refused, s.asked = 0, 0, 0
+				}
+			})
+		admitted := s.offered - s.refused
+		t.Logf("%d requests, %d admitted, %d asked", s.offered, admitted, s.asked)
+		part := float64(admitted) * cost / (10 * limit.Rate)
+		if part < 0.95 || part > 1.1 || limit.Burst > 0 && s.asked > 3*admitted { // 5 in 100 admitted ones are returned
+			t.Fatalf("%.2f of the limit", part)
+		}
+	}
+}
+
 // A bucket for all hosts would admit all of these requests. Divided among the domains, the limit
 // must still admit nearly all of them.
 func TestRequestsWithinTheLimitAreServed(t *testing.T) {
--- a/core/coord/quota/pool.go
+++ b/core/coord/quota/pool.go
@@ -137,12 +137,24 @@
 	}
 	need := p.need(b, units)
 	if b.level <= need {
-		return Reply{Wait: after(need-b.level, perSecond) + time.Millisecond, Level: b.level, Share: perSecond}
+		return Reply{Wait: max(p.gap(b, units), after(need-b.level, perSecond)+time.Millisecond), Level: b.level, Share: perSecond}
 	}
 	b.level -= units
 	return Reply{Charged: true, Level: b.level, Share: perSecond}
 }
 
+// gap returns the time for which a host need not ask again, while the demand is far above the
+// share: the bucket admits a request of one host in askFactor that ask. Without it nearly each
+// rejected request would be a call to the hub, since the level is back above 0 within
+// milliseconds. The gap is too short for the bucket to become full, which would lose units.
+func (p *Pool) gap(b *bucket, units float64) time.Duration {
+	perSecond := b.share * b.limit.Rate
+	if b.demand < askFactor*perSecond {
+		return 0
+	}
+	return min(maxHold/2, after(units*float64(len(b.hosts)), askFactor*perSecond), after(p.capacity(b)/2, perSecond))
+}
+
 // need returns the level above which a request is charged. It is 0, so that the largest request
 // fits, unless one such request in each domain would exceed the tolerance.
 func (p *Pool) need(b *bucket, units float64) float64 {
@@ -297,7 +309,9 @@
 	for name, d := range p.domains {
 		if silent := now-d.contact() > silentAfter; silent != d.silent {
 			d.silent = silent
-			changes = append(changes, Change{Domain: name, Silent: silent})
+			if d.delivered != never && len(p.accounts) > 0 {
+				changes = append(changes, Change{Domain: name, Silent: silent})
+			}
 		}
 		if !d.silent {
 			maps.DeleteFunc(d.sources, func(_ string, s *source) bool { return now-s.at > sourceTimeout })
--- a/core/coord/quota/quota.go
+++ b/core/coord/quota/quota.go
@@ -53,6 +53,9 @@
 	grantShare = 0.4
 	// grantGrowth is how much more than its demand a host is granted.
 	grantGrowth = 3
+	// askFactor is how many requests a hub is asked for each that it charges, and the demand, as
+	// a multiple of the share, above which it limits them.
+	askFactor = 2
 	// minSpan is the burst, in time at the rate, of limits whose burst is 0.
 	minSpan = 20 * time.Millisecond
 	// largestFor is how long the largest request of an account counts.
--- a/core/coord/quota/spender.go
+++ b/core/coord/quota/spender.go
@@ -94,10 +94,12 @@
 	grantEnd    time.Duration
 	allowance   float64
 	allowanceAt time.Duration
-	// hold is until when the requests are rejected, by the decision of a hub.
-	hold   time.Duration
-	holdBy string
-	holdAt time.Duration
+	// hold is until when requests of holdUnits or more are rejected, by the decision of a hub. It
+	// may still charge smaller ones.
+	hold      time.Duration
+	holdUnits float64
+	holdBy    string
+	holdAt    time.Duration
 	// wait is until when the hub expects to reject requests; not before hold.
 	wait time.Duration
 	// level is that of the fallback bucket as of fallbackAt.
@@ -117,7 +119,7 @@
 	a := s.spending(account, limit, now)
 	a.demand.add(units, limit.Rate, now)
 	a.usedAt = now
-	if now < a.hold {
+	if now < a.hold && units >= a.holdUnits {
 		return Decision{Action: Reject, Wait: a.wait - now, By: a.holdBy, Hub: a.holdBy, Level: 0, Share: a.grant, Age: now - a.holdAt}
 	}
 	if now >= a.grantEnd || a.grant <= 0 {
@@ -145,7 +147,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.spending(account, limit, now)
-	a.hold, a.wait, a.holdBy, a.holdAt = now+min(reply.Wait, maxHold), now+reply.Wait, hub, now
+	a.hold, a.wait, a.holdUnits, a.holdBy, a.holdAt = now+min(reply.Wait, maxHold), now+reply.Wait, units, hub, now
 	// What the fallback would admit now is what the hub has just rejected.
 	a.level, a.fallbackAt = 0, now
 	d.Action, d.Wait = Reject, reply.Wait
