--- a/core/coord/quota/pool.go
+++ b/core/coord/quota/pool.go
@@ -159,8 +159,11 @@
 // fits, unless one such request in each domain would exceed the tolerance.
 func (p *Pool) need(b *bucket, units float64) float64 {
 	const most = 0.95 // a full bucket is enough for any request
-	excess := units - p.cfg.Tolerance.units(b.limit)/float64(len(p.others)+1)
-	return max(0, min(excess, most*p.capacity(b)))
+	tolerance := p.cfg.Tolerance.units(b.limit)
+	if tolerance <= 0 {
+		return 0 // not configured
+	}
+	return max(0, min(units-tolerance/float64(len(p.others)+1), most*p.capacity(b)))
 }
 
 // Receive records the uses that a host of the domain reports, and returns its grants.
