Charge small requests first while an account asks for more than its limit

Callers: of an account at 6.8 times its usual rate, calls of 200 tokens were rejected as often as prompts of 12,000, though the limit had room for nearly all of them. Cause: a request was charged while the level of the bucket was above 0, which under overload admits each size alike. Change: while the demand is above the share, a request is charged only if it fits, or if the bucket is half full. The new test fails before.

--- a/core/coord/quota/pool.go
+++ b/core/coord/quota/pool.go
@@ -34,6 +34,10 @@
 	Silent bool
 }
 
+// fitShare is the part of a full bucket that is enough for any request of an account above its
+// limit: a larger request would wait too long for the bucket to become full.
+const fitShare = 0.5
+
 // Pool is the side of a hub. It holds the buckets of its failure domain. It is safe for
 // concurrent use.
 //
@@ -156,8 +160,13 @@
 }
 
 // need returns the level above which a request is charged. It is 0, so that the largest request
-// fits, unless one such request in each domain would exceed the tolerance.
+// fits, unless one such request in each domain would exceed the tolerance. While the account asks
+// for more than its limit, a request is charged only if it fits: the level is then about 0, and
+// small requests, of which the limit has room for many more, would be rejected like large ones.
 func (p *Pool) need(b *bucket, units float64) float64 {
+	if b.demand > b.share*b.limit.Rate {
+		return min(units, fitShare*p.capacity(b))
+	}
 	const most = 0.95 // a full bucket is enough for any request
 	tolerance := p.cfg.Tolerance.units(b.limit)
 	if tolerance <= 0 {
--- a/core/coord/quota/quota_test.go
+++ b/core/coord/quota/quota_test.go
@@ -117,3 +117,34 @@
 	}
 	is.Equal(level(p, 2*time.Minute), 1.0) // a reduced burst
 }
+
+// An account asks for four times its limit, with requests of 200, 2,400 and 12,000 units. Charged
+// in the order of arrival, each size had the same part served; a limit has room for nearly all of
+// the small requests.
+func TestSmallRequestsFitFirstAboveTheLimit(t *testing.T) {
+	is := is.New(t)
+	limit := site.Limit{Rate: 500_000, Burst: 500_000}
+	p := newPool(&limit)
+	sizes := map[float64]int{200: 100, 2_400: 400, 12_000: 85} // requests per second
+	asked, charged := make(map[float64]int), make(map[float64]int)
+	spent, now := 0.0, time.Duration(0)
+	for ; now < 6*time.Second; now += 10 * time.Millisecond {
+		if now%(60*time.Millisecond) == 0 {
+			p.Receive("h", []quota.Use{{Account: "a", Demand: 4 * limit.Rate}}, now)
+			p.Refresh(now)
+		}
+		for size, perSecond := range sizes {
+			for n := int(now.Milliseconds()) * perSecond / 1000; n < (int(now.Milliseconds())+10)*perSecond/1000; n++ {
+				asked[size]++
+				if p.Charge("a", size, now).Charged {
+					charged[size]++
+					spent += size
+				}
+			}
+		}
+	}
+	is.True(charged[200] > asked[200]*9/10)
+	is.True(charged[12_000] < asked[12_000]/10)
+	is.True(spent > 0.9*limit.Rate*now.Seconds()) // nothing of the limit is lost
+	is.True(spent <= limit.Rate*now.Seconds()+limit.Burst)
+}
