Place requests by the memory of engines and hold those that fit nowhere

Requests at engines count with the KV cache tokens that they hold when complete. Hosts exchange them, and placement avoids engines whose memory a request would exceed. A large request that fits nowhere waits in the host while its target allows it, and is then rejected with the time until there is room.

--- a/core/coord/load/load.go
+++ b/core/coord/load/load.go
@@ -25,6 +25,11 @@
 	// Tokens is the number of prompt tokens still to be computed for the waiting
 	// requests, by rank.
 	Tokens [call.Ranks]int
+	// Memory is the number of KV cache tokens that the requests hold when they are complete,
+	// without those of Unsized requests, whose size is not known: their host runs a release
+	// that does not send it.
+	Memory  int
+	Unsized int
 }
 
 // Add returns the sum of two amounts of work.
@@ -32,6 +37,8 @@
 	w.Waiting += o.Waiting
 	w.Running += o.Running
 	w.Sent += o.Sent
+	w.Memory += o.Memory
+	w.Unsized += o.Unsized
 	for rank, n := range o.Tokens {
 		w.Tokens[rank] += n
 	}
@@ -73,6 +80,16 @@
 	return w.Waiting * w.TokensAhead(rank) / all
 }
 
+// EstimatedMemory returns Memory with an estimate for the requests of unknown size: those of
+// known size at the same endpoint are taken as typical. It returns 0 if no size is known.
+func (w Work) EstimatedMemory() int {
+	sized := w.Requests() - w.Unsized
+	if sized <= 0 || w.Memory <= 0 {
+		return 0
+	}
+	return w.Memory * w.Requests() / sized
+}
+
 // Requests returns how many requests are at the endpoint.
 func (w Work) Requests() int { return w.Waiting + w.Running }
 
@@ -133,14 +150,16 @@
 type Request struct {
 	table    *Table
 	endpoint string
+	memory   int
 	work     Work
 }
 
 // Track records a request of a rank that is sent to an endpoint, with the number of
-// prompt tokens that the engine has to compute.
-func (t *Table) Track(endpoint string, rank, tokens int) *Request {
-	r := &Request{table: t, endpoint: endpoint}
-	waiting := Work{Waiting: 1}
+// prompt tokens that the engine has to compute and of KV cache tokens that the request
+// holds when it is complete.
+func (t *Table) Track(endpoint string, rank, tokens, memory int) *Request {
+	r := &Request{table: t, endpoint: endpoint, memory: memory}
+	waiting := Work{Waiting: 1, Memory: memory}
 	waiting.Tokens[rank] = tokens
 	r.change(waiting)
 	return r
@@ -149,7 +168,7 @@
 // MarkRunning records that the response has started.
 func (r *Request) MarkRunning() {
 	if r.work.Waiting > 0 {
-		r.change(Work{Running: 1})
+		r.change(Work{Running: 1, Memory: r.memory})
 	}
 }
 
@@ -163,6 +182,7 @@
 	w := t.own[r.endpoint].Add(to)
 	w.Waiting -= r.work.Waiting
 	w.Running -= r.work.Running
+	w.Memory -= r.work.Memory
 	for rank, n := range r.work.Tokens {
 		w.Tokens[rank] -= n
 	}
@@ -219,8 +239,8 @@
 
 // Reserve counts a request that was placed for a host, until the host's own update
 // is expected to include it.
-func (t *Table) Reserve(host, endpoint string, rank, tokens int, until time.Duration) {
-	r := reservation{host: host, endpoint: endpoint, work: Work{Waiting: 1}, until: until}
+func (t *Table) Reserve(host, endpoint string, rank, tokens, memory int, until time.Duration) {
+	r := reservation{host: host, endpoint: endpoint, work: Work{Waiting: 1, Memory: memory}, until: until}
 	r.work.Tokens[rank] = tokens
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/coord/load/load_test.go
+++ b/core/coord/load/load_test.go
@@ -14,12 +14,12 @@
 func TestRequestLifecycle(t *testing.T) {
 	is := is.New(t)
 	table := load.New(time.Second)
-	r := table.Track("e", 2, 40)
+	r := table.Track("e", 2, 40, 50)
 	is.Equal(table.Total(0)["e"].Waiting, 1)
 	is.Equal(table.Total(0)["e"].TokensAhead(1), 0) // more urgent requests are not queued behind it
 	is.Equal(table.Total(0)["e"].TokensAhead(2), 40)
 	r.MarkRunning()
-	is.Equal(table.Total(0)["e"], load.Work{Running: 1})
+	is.Equal(table.Total(0)["e"], load.Work{Running: 1, Memory: 50})
 	r.Done()
 	r.Done()
 	is.Equal(len(table.Total(0)), 0)
@@ -28,7 +28,7 @@
 func TestAHubSumsItsDomainAndOtherDomains(t *testing.T) {
 	is := is.New(t)
 	table := load.New(time.Second)
-	table.Track("e", 0, 10)
+	table.Track("e", 0, 10, 0)
 	table.UpdatePeer("a", load.ScopeHost, work(2), nil, 0)
 	table.UpdatePeer("domain x", load.ScopeDomain, work(5), nil, 0)
 	is.Equal(table.Total(0)["e"].Waiting, 8)
@@ -64,7 +64,7 @@
 func TestAReservationCountsUntilItExpires(t *testing.T) {
 	is := is.New(t)
 	table := load.New(time.Second)
-	table.Reserve("a", "e", 2, 1000, 75*time.Millisecond)
+	table.Reserve("a", "e", 2, 1000, 0, 75*time.Millisecond)
 	at := func(now time.Duration) load.Work { return table.AtEndpoints([]string{"e"}, now)[0] }
 	is.Equal(at(0).Waiting, 1)
 	is.Equal(at(0).TokensAhead(2), 1000)
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"cicadastand.dev/core/coord/load"
 )
@@ -53,6 +54,8 @@
 	// PrefillRate is the prefill throughput in prompt tokens per second.
 	PrefillRate float64
 	Work        load.Work
+	// Capacity is the size of the KV cache in tokens; 0 if it is not known.
+	Capacity int
 	// CachedTokens is the number of leading tokens of the shared prefix that the
 	// engine is known to have cached.
 	CachedTokens int
@@ -70,6 +73,10 @@
 	// requests have in common.
 	Tokens       int
 	SharedTokens int
+	// OutputTokens is the limit of generated tokens.
+	OutputTokens int
+	// Holds is set if the request is sent only to an engine that does not lack memory for it.
+	Holds bool
 	// FetchableTokens is how much of the shared prefix engines can fetch from another
 	// cache, and TransferRate the throughput of a fetch in tokens per second.
 	FetchableTokens int
@@ -78,6 +85,9 @@
 	Rank int
 	// Key identifies the longest shared prefix; empty if there is none.
 	Key string
+
+	// meanMemory is assumed for requests at engines whose size is not known.
+	meanMemory int
 }
 
 // Choice is the result of a placement.
@@ -92,6 +102,10 @@
 	// that the prompt spends in the queue.
 	FirstToken time.Duration
 	Wait       time.Duration
+	// Memory is the number of KV cache tokens that the request holds when it is complete,
+	// and Lacking how many of them the engine lacks.
+	Memory  int
+	Lacking int
 	// Owner is the index of the engine that all hosts prefer for the shared prefix
 	// while no engine has it cached.
 	Owner int
@@ -103,17 +117,18 @@
 //
 // It considers only the engines that have the most tokens of the shared prefix
 // cached and the first sampleSize by rendezvous hashing, then sampleSize more at a
-// time while the best engine is busy. Hosts learn of each other's requests a few
+// time while the best engine is busy or lacks memory. Hosts learn of each other's requests a few
 // hundred milliseconds late, so if many hosts considered all engines, each would
 // send to the same idle one.
 func Choose(p Prompt, engines []Engine, sampleSize int) Choice {
 	ranked := rendezvousOrder(p.Key, engines)
 	owner := ranked[0]
 	maxCached := maxCachedTokens(engines)
+	p.meanMemory = meanMemory(works(engines), p.memory(engines[owner]))
 	best, least, examined := owner, time.Duration(math.MaxInt64), 0
 	for position, i := range ranked {
 		e := engines[i]
-		if examined >= sampleSize && position%sampleSize == 0 && p.wait(engines[best]) < busyWait {
+		if examined >= sampleSize && position%sampleSize == 0 && p.wait(engines[best]) < busyWait && p.lacking(engines[best]) == 0 {
 			break
 		}
 		examined++
@@ -129,7 +144,7 @@
 			best, least = i, cost
 		}
 	}
-	return Choice{Index: best, ReusableTokens: p.reusableTokens(engines[best]), TokensAhead: engines[best].Work.TokensAhead(p.Rank), FirstToken: FirstToken(p, engines[best]), Wait: p.wait(engines[best]), Owner: owner, IsOwner: best == owner}
+	return Choice{Index: best, ReusableTokens: p.reusableTokens(engines[best]), TokensAhead: engines[best].Work.TokensAhead(p.Rank), FirstToken: FirstToken(p, engines[best]), Wait: p.wait(engines[best]), Memory: p.memory(engines[best]), Lacking: p.lacking(engines[best]), Owner: owner, IsOwner: best == owner}
 }
 
 // cost returns the time to the first token, plus a penalty for computing the
@@ -144,9 +159,17 @@
 	if e.OldWeights {
 		cost += oldWeightsCost
 	}
-	return cost + stall(e, p.Rank, max(0, p.Tokens-p.reusableTokens(e)))
+	return cost + stall(e, p.Rank, max(0, p.Tokens-p.reusableTokens(e))) + e.memoryCost(p.memory(e), p.meanMemory)
+}
+
+// memory returns how many KV cache tokens the request adds at an engine. Cached parts of its
+// prompt are there already.
+func (p Prompt) memory(e Engine) int {
+	return max(1, p.Tokens-e.CachedTokens) + p.OutputTokens
 }
 
+func (p Prompt) lacking(e Engine) int { return e.lacking(p.memory(e), p.meanMemory) }
+
 // stall returns the cost of the pauses in streams that follow from placing a prompt of a
 // rank at an engine. While an engine computes a prompt, its running streams make little
 // progress. So prompts that take long to compute go to engines that run few streams, and
@@ -198,6 +221,10 @@
 	return cost
 }
 
+func works(engines []Engine) []load.Work {
+	return lo.Map(engines, func(e Engine, _ int) load.Work { return e.Work })
+}
+
 func maxCachedTokens(engines []Engine) int {
 	most := 0
 	for _, e := range engines {
--- a/core/coord/place/query.go
+++ b/core/coord/place/query.go
@@ -31,11 +31,18 @@
 	Cost        time.Duration
 	PrefillRate float64
 	Slots       int
+	// Memory is the number of KV cache tokens that the request adds at the engine, and
+	// Capacity the size of the engine's KV cache; 0 if it is not known.
+	Memory   int
+	Capacity int
 }
 
 // Query asks a hub to choose the engine for one request.
 type Query struct {
 	Rank int
+	// Holds is set if the host sends the request only to an engine that does not lack
+	// memory for it.
+	Holds bool
 	// Owner is the index of the engine that all hosts prefer for the shared prefix
 	// while no engine has it cached. It is not sent.
 	Owner      int
@@ -50,6 +57,8 @@
 func NewQuery(p Prompt, engines []Engine) Query {
 	ranked := rendezvousOrder(p.Key, engines)
 	owner, maxCached := ranked[0], maxCachedTokens(engines)
+	p.meanMemory = meanMemory(works(engines), p.memory(engines[owner]))
+	ranked = withRoomFirst(p, engines, ranked)
 	local := lo.Filter(ranked, func(i, _ int) bool { return !engines[i].Remote })
 	remote := lo.Filter(ranked, func(i, _ int) bool { return engines[i].Remote })
 	chosen := append(local[:min(localCandidates, len(local))], remote[:min(remoteCandidates, len(remote))]...)
@@ -58,7 +67,7 @@
 			chosen = append(chosen, i)
 		}
 	}
-	q := Query{Rank: p.Rank, Owner: owner}
+	q := Query{Rank: p.Rank, Holds: p.Holds, Owner: owner}
 	for _, i := range chosen {
 		e := engines[i]
 		e.Work = load.Work{}
@@ -67,12 +76,18 @@
 			cost += remoteHubCost
 		}
 		q.Candidates = append(q.Candidates, Candidate{
-			Index: i, ID: e.ID, PrefillTokens: max(0, p.Tokens-p.reusableTokens(e)), Cost: cost, PrefillRate: e.PrefillRate, Slots: e.Slots,
+			Index: i, ID: e.ID, PrefillTokens: max(0, p.Tokens-p.reusableTokens(e)), Cost: cost, PrefillRate: e.PrefillRate, Slots: e.Slots, Memory: p.memory(e), Capacity: e.Capacity,
 		})
 	}
 	return q
 }
 
+// withRoomFirst moves the engines that lack memory for the prompt to the end of an order.
+func withRoomFirst(p Prompt, engines []Engine, order []int) []int {
+	room, full := lo.FilterReject(order, func(i, _ int) bool { return p.lacking(engines[i]) == 0 })
+	return append(room, full...)
+}
+
 // Decision is a hub's response to a Query.
 type Decision struct {
 	// Position is the index of the chosen engine in Query.Candidates.
@@ -81,6 +96,8 @@
 	// the expected queueing delay.
 	TokensAhead int
 	Wait        time.Duration
+	// Lacking is the number of KV cache tokens that the engine lacks for the request.
+	Lacking int
 }
 
 // Decide returns the candidate with the least cost, given the work at each of
@@ -88,11 +105,12 @@
 func Decide(q Query, work []load.Work) Decision {
 	var best Decision
 	least := time.Duration(0)
+	mean := meanMemory(work, q.Candidates[0].Memory)
 	for i, c := range q.Candidates {
-		e := Engine{Slots: c.Slots, PrefillRate: c.PrefillRate, Work: work[i]}
+		e := Engine{Slots: c.Slots, PrefillRate: c.PrefillRate, Work: work[i], Capacity: c.Capacity}
 		wait := Wait(e, q.Rank)
-		if cost := c.Cost + wait + stall(e, q.Rank, c.PrefillTokens); i == 0 || cost < least {
-			least, best = cost, Decision{Position: i, TokensAhead: work[i].TokensAhead(q.Rank), Wait: wait}
+		if cost := c.Cost + wait + stall(e, q.Rank, c.PrefillTokens) + e.memoryCost(c.Memory, mean); i == 0 || cost < least {
+			least, best = cost, Decision{Position: i, TokensAhead: work[i].TokensAhead(q.Rank), Wait: wait, Lacking: e.lacking(c.Memory, mean)}
 		}
 	}
 	return best
@@ -103,5 +121,5 @@
 	index := q.Candidates[d.Position].Index
 	e := engines[index]
 	e.Work = load.Work{}
-	return Choice{Index: index, ReusableTokens: p.reusableTokens(e), TokensAhead: d.TokensAhead, FirstToken: FirstToken(p, e) + d.Wait, Wait: d.Wait, Owner: q.Owner, IsOwner: index == q.Owner}
+	return Choice{Index: index, ReusableTokens: p.reusableTokens(e), TokensAhead: d.TokensAhead, FirstToken: FirstToken(p, e) + d.Wait, Wait: d.Wait, Memory: q.Candidates[d.Position].Memory, Lacking: d.Lacking, Owner: q.Owner, IsOwner: index == q.Owner}
 }
--- a/core/coord/shed/shed.go
+++ b/core/coord/shed/shed.go
@@ -85,4 +85,26 @@
 	return false, max(minRetryAfter, share(1+jitterShare*r.Jitter, wait))
 }
 
+// MaxHold returns how long a request for which no engine has memory may still wait in the
+// host: it must be able to meet its target afterwards, and half of its remaining time is kept
+// for the engine and for a retry.
+func MaxHold(r Request) time.Duration {
+	target := r.Target
+	switch {
+	case target <= 0:
+		target = r.Elapsed + r.Remaining
+	case r.Waiting >= busyQueueLength:
+		target = share(maxTargetShare, target)
+	}
+	return min(target-r.Elapsed-r.ExpectedFirstToken, r.Remaining/2-r.ExpectedFirstToken)
+}
+
+// RetryForRoom returns the retry time of a request that is rejected because no engine has
+// memory for it. room is the expected time until one has. Clients that are rejected together
+// don't come back together, since the jitter is as long as that time.
+func RetryForRoom(r Request, room time.Duration) time.Duration {
+	wait := min(max(minRetryAfter, room+r.ExpectedWait), maxRetryAfter)
+	return max(minRetryAfter, min(share(1+r.Jitter, wait), share(maxRetryAfterShare, r.Remaining)))
+}
+
 func share(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -44,7 +44,7 @@
 	j.endpoint = c.endpoint.ID
 	j.tried[c.endpoint.ID] = true
 	j.recordPlacement(c, c.weights)
-	tracked := r.cfg.Loads.Track(c.endpoint.ID, j.rank(), c.prefillTokens)
+	tracked := r.cfg.Loads.Track(c.endpoint.ID, j.rank(), c.prefillTokens, c.memory)
 	defer tracked.Done()
 	sent, asked := r.cfg.Clock.Now(), r.cfg.Clock.Boot()
 	ctx, stop := j.untilCutOff(ctx)
@@ -67,7 +67,7 @@
 // begin chooses an endpoint to which the request may be sent now.
 func (j *job) begin(ctx context.Context) (choice, *avoid.Request, *rejection) {
 	for range maxChoices {
-		c, fault := j.choose(ctx)
+		c, fault := j.chooseWithRoom(ctx)
 		if fault != nil {
 			return choice{}, nil, fault
 		}
@@ -116,11 +116,14 @@
 		Target:             j.route.TargetLatency,
 		Remaining:          j.deadline.Sub(now),
 		Started:            j.started,
-		Resumed:            j.params.LastEvent > 0 && j.isResumable(),
+		Resumed:            j.isResumed(),
 		Jitter:             j.jitter(),
 	}
 }
 
+// isResumed reports whether the client resumes a stream.
+func (j *job) isResumed() bool { return j.params.LastEvent > 0 && j.isResumable() }
+
 // jitter returns a number from 0 to 1 that differs between requests.
 func (j *job) jitter() float64 { return float64(j.fingerprint[0]) / 256 }
 
--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -42,6 +42,12 @@
 	waiting float64
 	// tokensAhead is the number of queued prompt tokens ahead of this prompt.
 	tokensAhead int
+	// memory is the number of KV cache tokens that the request adds at the endpoint, lacking
+	// how many of them the endpoint lacks.
+	memory  int
+	lacking int
+	// prefillRate is the prefill throughput of the endpoint in tokens per second.
+	prefillRate float64
 	// isOwner is set if all hosts prefer the endpoint for the shared prefix.
 	isOwner bool
 	// permitted is set if a permit was taken from the endpoint's request limit.
@@ -113,7 +119,7 @@
 
 // prompt returns the input of the placement.
 func (j *job) prompt() place.Prompt {
-	p := place.Prompt{Tokens: j.params.PromptTokens, Rank: j.rank()}
+	p := place.Prompt{Tokens: j.params.PromptTokens, OutputTokens: j.params.MaxTokens, Rank: j.rank()}
 	for _, part := range j.params.Shared() {
 		p.SharedTokens += part.Tokens
 		p.Key = part.ID
@@ -137,6 +143,7 @@
 	since := j.r.cfg.Clock.Boot() - engineCacheLifetime
 	newest := j.view.NewestWeights(j.params.Model)
 	prompt := j.prompt()
+	prompt.Holds = j.waitsForRoom(prompt.Tokens + prompt.OutputTokens)
 	engines := make([]place.Engine, len(list))
 	loaded := make([]engineWeights, len(list))
 	waiting := 0.0
@@ -148,6 +155,7 @@
 			Slots:        e.Slots,
 			PrefillRate:  j.r.prefill.rate(j.serviceName, e.ID),
 			Work:         work[e.ID],
+			Capacity:     j.service.Engine.CacheTokens,
 			CachedTokens: j.r.cfg.CacheIndex.CachedTokens(e.ID, loaded[i].version, j.cacheSalt(), j.params.Shared(), since),
 			CanFetch:     loaded[i].valid,
 			OldWeights:   loaded[i].version < newest,
@@ -170,6 +178,9 @@
 		wait:          c.Wait,
 		waiting:       waiting,
 		tokensAhead:   c.TokensAhead,
+		memory:        c.Memory,
+		lacking:       c.Lacking,
+		prefillRate:   engines[c.Index].PrefillRate,
 		isOwner:       c.IsOwner,
 	}
 	if at, replaced := j.view.ReplacedAt(j.params.Model, out.weights); replaced {
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -100,6 +100,8 @@
 	confirmation *confirmation
 	// permitWaited is how long the request waited within endpoints' request limits.
 	permitWaited time.Duration
+	// roomWaited is how long the request waited for memory of an engine.
+	roomWaited time.Duration
 
 	outcome   string
 	reason    string
@@ -362,7 +364,7 @@
 		args = append(args, "resumes", j.params.Resumes, "after-event", j.params.LastEvent, "began-build", j.build)
 	}
 	if j.isModel() && j.chosen.endpoint != nil {
-		args = append(args, "rank", j.rank(), "tokens", j.chosen.prefillTokens, "ahead", j.chosen.tokensAhead, "waiting", math.Round(10*j.chosen.waiting)/10,
+		args = append(args, "rank", j.rank(), "tokens", j.chosen.prefillTokens, "ahead", j.chosen.tokensAhead, "waiting", math.Round(10*j.chosen.waiting)/10, "memory", j.chosen.memory, "lacking", j.chosen.lacking,
 			"expect-ms", j.chosen.firstToken.Milliseconds(), "weights", j.chosen.weights, "shared", j.chosen.shared, "held", j.chosen.cached, "source", j.chosen.sourceName, "save", j.chosen.store != nil)
 	}
 	if j.chosen.replacedFor > 0 {
@@ -371,6 +373,9 @@
 	if j.permitWaited > 0 {
 		args = append(args, "limit-wait-ms", j.permitWaited.Milliseconds())
 	}
+	if j.roomWaited > 0 {
+		args = append(args, "room-wait-ms", j.roomWaited.Milliseconds())
+	}
 	if j.firstByte > 0 {
 		args = append(args, "first-ms", j.firstByte.Milliseconds())
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -14,6 +14,7 @@
 	"cicadastand.dev/core/coord/avoid"
 	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/coord/eject"
+	"cicadastand.dev/core/coord/line"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pace"
 	"cicadastand.dev/core/coord/pause"
@@ -133,11 +134,13 @@
 
 // Relay is the HTTP handler of clients' requests.
 type Relay struct {
-	cfg        Config
-	prefill    *prefillRates
-	prompts    *promptLengths
-	weights    *reportedWeights
-	crashes    *crashes
+	cfg     Config
+	prefill *prefillRates
+	prompts *promptLengths
+	weights *reportedWeights
+	crashes *crashes
+	// line holds the requests that wait for memory of engines.
+	line       *line.Table
 	roundRobin atomic.Uint64
 	buffered   atomic.Int64
 	held       heldLimit
@@ -156,6 +159,8 @@
 	limited *metrics.Counter
 	// noRoom counts the requests rejected because brittle endpoints have no room.
 	noRoom *metrics.Counter
+	// noMemory counts the requests rejected because engines lack memory for them.
+	noMemory *metrics.Counter
 	// forwardedTotal counts the requests that other hosts served.
 	forwardedTotal *metrics.Counter
 }
@@ -167,17 +172,20 @@
 		prefill:    newPrefillRates(),
 		prompts:    newPromptLengths(),
 		weights:    newReportedWeights(),
+		line:       line.New(),
 		latency:    cfg.Metrics.NewHistogram("cicada_relay_seconds"),
 		firstByte:  cfg.Metrics.NewHistogram("cicada_relay_first_byte_seconds"),
 		oldWeights: cfg.Metrics.NewCounter("cicada_relay_old_weights_total"),
 		tainted:    cfg.Metrics.NewCounter("cicada_relay_tainted_total"),
 		limited:    cfg.Metrics.NewCounter("cicada_relay_limited_total"),
 		noRoom:     cfg.Metrics.NewCounter("cicada_relay_no_room_total"),
+		noMemory:   cfg.Metrics.NewCounter("cicada_relay_no_memory_total"),
 
 		forwardedTotal: cfg.Metrics.NewCounter("cicada_relay_forwarded_total"),
 	}
 	r.held.max = cfg.MaxHeld
 	cfg.Metrics.NewGauge("cicada_relay_held_bytes", func() float64 { return float64(r.held.total.Load()) })
+	cfg.Metrics.NewGauge("cicada_relay_room_waiting", func() float64 { return float64(r.line.Len()) })
 	r.crashes = newCrashes(r)
 	r.ending, r.end = context.WithCancelCause(context.Background())
 	return r
--- a/router/share/message.go
+++ b/router/share/message.go
@@ -27,7 +27,7 @@
 
 func workMessage(work map[string]load.Work) []*loadpb.Work {
 	return lo.MapToSlice(work, func(id string, w load.Work) *loadpb.Work {
-		out := &loadpb.Work{Endpoint: id, Waiting: uint32(max(0, w.Waiting)), Running: uint32(max(0, w.Running)), Sent: float32(w.Sent)}
+		out := &loadpb.Work{Endpoint: id, Waiting: uint32(max(0, w.Waiting)), Running: uint32(max(0, w.Running)), Sent: float32(w.Sent), Memory: uint32(max(0, w.EstimatedMemory()))}
 		for rank, n := range w.Tokens {
 			if n > 0 {
 				// Lower ranks without an entry have 0 tokens.
@@ -40,7 +40,11 @@
 
 func workFrom(in []*loadpb.Work) map[string]load.Work {
 	return lo.SliceToMap(in, func(w *loadpb.Work) (string, load.Work) {
-		out := load.Work{Waiting: int(w.GetWaiting()), Running: int(w.GetRunning()), Sent: float64(w.GetSent())}
+		out := load.Work{Waiting: int(w.GetWaiting()), Running: int(w.GetRunning()), Sent: float64(w.GetSent()), Memory: int(w.GetMemory())}
+		if out.Memory == 0 {
+			// The previous release does not send it.
+			out.Unsized = out.Requests()
+		}
 		for rank, n := range w.GetTokens()[:min(len(w.GetTokens()), call.Ranks)] {
 			out.Tokens[rank] = int(n)
 		}
--- a/router/share/place.go
+++ b/router/share/place.go
@@ -64,7 +64,7 @@
 	s.mu.Lock()
 	s.unanswered = 0
 	s.mu.Unlock()
-	return place.Decision{Position: int(placed.GetIndex()), TokensAhead: int(placed.GetAhead()), Wait: time.Duration(placed.GetWaitUs()) * time.Microsecond}, true
+	return place.Decision{Position: int(placed.GetIndex()), TokensAhead: int(placed.GetAhead()), Wait: time.Duration(placed.GetWaitUs()) * time.Microsecond, Lacking: int(placed.GetLacking())}, true
 }
 
 func candidateIDs(q place.Query) []string {
@@ -73,8 +73,9 @@
 
 func queryMessage(host string, q place.Query) *loadpb.Query {
 	return &loadpb.Query{
-		Host: host,
-		Rank: uint32(q.Rank),
+		Host:  host,
+		Rank:  uint32(q.Rank),
+		Holds: q.Holds,
 		Candidates: lo.Map(q.Candidates, func(c place.Candidate, _ int) *loadpb.Candidate {
 			return &loadpb.Candidate{
 				Endpoint: c.ID,
@@ -82,6 +83,8 @@
 				CostUs:   uint32(c.Cost.Microseconds()),
 				Rate:     uint32(c.PrefillRate),
 				Slots:    uint32(c.Slots),
+				Memory:   uint32(c.Memory),
+				Capacity: uint32(c.Capacity),
 			}
 		}),
 	}
@@ -89,7 +92,8 @@
 
 func queryFrom(in *loadpb.Query) place.Query {
 	return place.Query{
-		Rank: min(int(in.GetRank()), call.Ranks-1),
+		Rank:  min(int(in.GetRank()), call.Ranks-1),
+		Holds: in.GetHolds(),
 		Candidates: lo.Map(in.GetCandidates(), func(c *loadpb.Candidate, _ int) place.Candidate {
 			return place.Candidate{
 				ID:            c.GetEndpoint(),
@@ -97,13 +101,16 @@
 				Cost:          time.Duration(c.GetCostUs()) * time.Microsecond,
 				PrefillRate:   float64(max(1, c.GetRate())),
 				Slots:         int(c.GetSlots()),
+				Memory:        int(c.GetMemory()),
+				Capacity:      int(c.GetCapacity()),
 			}
 		}),
 	}
 }
 
 // decideFor chooses an endpoint for a host of the domain. It reserves the work there
-// until the status of that host can include the request.
+// until the status of that host can include the request. A request that is not sent for
+// lack of memory reserves nothing.
 func (s *Service) decideFor(in *loadpb.Query) *loadpb.Placed {
 	q := queryFrom(in)
 	if len(q.Candidates) == 0 {
@@ -112,6 +119,8 @@
 	now := s.cfg.Clock.Boot()
 	decision := place.Decide(q, s.cfg.Loads.AtEndpoints(candidateIDs(q), now))
 	candidate := q.Candidates[decision.Position]
-	s.cfg.Loads.Reserve(in.GetHost(), candidate.ID, q.Rank, candidate.PrefillTokens, now+reservationTime)
-	return &loadpb.Placed{Index: uint32(decision.Position), Ahead: uint32(decision.TokensAhead), WaitUs: uint32(decision.Wait.Microseconds())}
+	if decision.Lacking == 0 || !q.Holds {
+		s.cfg.Loads.Reserve(in.GetHost(), candidate.ID, q.Rank, candidate.PrefillTokens, candidate.Memory, now+reservationTime)
+	}
+	return &loadpb.Placed{Index: uint32(decision.Position), Ahead: uint32(decision.TokensAhead), WaitUs: uint32(decision.Wait.Microseconds()), Lacking: uint32(decision.Lacking)}
 }
