--- a/core/coord/place/memory.go
+++ b/core/coord/place/memory.go
@@ -70,14 +70,14 @@
 	return float64(memory*e.Slots) <= smallShare*float64(e.Capacity)
 }
 
-// meanMemory returns the mean size of the requests of known size, or that of the new request
-// if there are none.
-func meanMemory(work []load.Work, own int) int {
+// meanMemory returns the mean size of the requests of known size at n engines, or that of the
+// new request if there are none.
+func meanMemory(n int, work func(i int) *load.Work, own int) int {
 	tokens, requests := 0, 0
-	for _, w := range work {
-		if sized := w.Requests() - w.Unsized; sized > 0 {
+	for i := range n {
+		if w := work(i); w.Requests() > w.Unsized {
 			tokens += w.Memory
-			requests += sized
+			requests += w.Requests() - w.Unsized
 		}
 	}
 	if requests == 0 {
--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/samber/lo"
 
 	"cicadastand.dev/core/coord/load"
 )
@@ -124,7 +123,7 @@
 	ranked := rendezvousOrder(p.Key, engines)
 	owner := ranked[0]
 	maxCached := maxCachedTokens(engines)
-	p.meanMemory = meanMemory(works(engines), p.memory(engines[owner]))
+	p.meanMemory = meanMemory(len(engines), func(i int) *load.Work { return &engines[i].Work }, p.memory(engines[owner]))
 	best, least, examined := owner, time.Duration(math.MaxInt64), 0
 	for position, i := range ranked {
 		e := engines[i]
@@ -221,10 +220,6 @@
 	return cost
 }
 
-func works(engines []Engine) []load.Work {
-	return lo.Map(engines, func(e Engine, _ int) load.Work { return e.Work })
-}
-
 func maxCachedTokens(engines []Engine) int {
 	most := 0
 	for _, e := range engines {
--- a/core/coord/place/query.go
+++ b/core/coord/place/query.go
@@ -57,7 +57,7 @@
 func NewQuery(p Prompt, engines []Engine) Query {
 	ranked := rendezvousOrder(p.Key, engines)
 	owner, maxCached := ranked[0], maxCachedTokens(engines)
-	p.meanMemory = meanMemory(works(engines), p.memory(engines[owner]))
+	p.meanMemory = meanMemory(len(engines), func(i int) *load.Work { return &engines[i].Work }, p.memory(engines[owner]))
 	ranked = withRoomFirst(p, engines, ranked)
 	local := lo.Filter(ranked, func(i, _ int) bool { return !engines[i].Remote })
 	remote := lo.Filter(ranked, func(i, _ int) bool { return engines[i].Remote })
@@ -84,7 +84,11 @@
 
 // withRoomFirst moves the engines that lack memory for the prompt to the end of an order.
 func withRoomFirst(p Prompt, engines []Engine, order []int) []int {
-	room, full := lo.FilterReject(order, func(i, _ int) bool { return p.lacking(engines[i]) == 0 })
+	lacks := func(i int) bool { return p.lacking(engines[i]) > 0 }
+	if !slices.ContainsFunc(order, lacks) {
+		return order
+	}
+	full, room := lo.FilterReject(order, func(i, _ int) bool { return lacks(i) })
 	return append(room, full...)
 }
 
@@ -105,7 +109,7 @@
 func Decide(q Query, work []load.Work) Decision {
 	var best Decision
 	least := time.Duration(0)
-	mean := meanMemory(work, q.Candidates[0].Memory)
+	mean := meanMemory(len(work), func(i int) *load.Work { return &work[i] }, q.Candidates[0].Memory)
 	for i, c := range q.Candidates {
 		e := Engine{Slots: c.Slots, PrefillRate: c.PrefillRate, Work: work[i], Capacity: c.Capacity}
 		wait := Wait(e, q.Rank)
