--- a/core/coord/place/memory.go
+++ b/core/coord/place/memory.go
@@ -70,6 +70,12 @@
 	return float64(memory*e.Slots) <= smallShare*float64(e.Capacity)
 }
 
+// IsTight reports whether an engine that lacks some tokens still takes the request without
+// preempting others, going by the sum of their sizes.
+func IsTight(lacking, capacity int) bool {
+	return float64(lacking) <= (1-fullShare)*float64(capacity)
+}
+
 // meanMemory returns the mean size of the requests of known size at n engines, or that of the
 // new request if there are none.
 func meanMemory(n int, work func(i int) *load.Work, own int) int {
--- a/router/relay/memory.go
+++ b/router/relay/memory.go
@@ -42,7 +42,7 @@
 	for {
 		if w == nil || w.IsNext() || last {
 			c, fault := j.choose(ctx)
-			if fault != nil || c.lacking == 0 {
+			if fault != nil || c.lacking == 0 || last && place.IsTight(c.lacking, j.service.Engine.CacheTokens) {
 				sent = fault == nil
 				return c, fault
 			}
