--- a/core/coord/load/load_test.go
+++ b/core/coord/load/load_test.go
@@ -127,3 +127,14 @@
 	is.True(own > 0.5 && own < 0.7) // 1/s decays with a time constant of 2 s
 	is.Equal(len(table.Own(time.Minute)), 0)
 }
+
+// Hosts of the previous release send no memory. What a hub passes on must not count their
+// requests as free.
+func TestMemoryOfRequestsOfUnknownSizeIsEstimated(t *testing.T) {
+	is := is.New(t)
+	is.Equal(load.Work{Waiting: 1, Running: 2, Memory: 200, Unsized: 1}.EstimatedMemory(), 300)
+	is.Equal(load.Work{Running: 2, Unsized: 2}.EstimatedMemory(), 0) // the receiver takes them as unsized too
+	table := load.New(time.Second)
+	table.Reserve("a", "e", 2, 1000, 70, 75*time.Millisecond)
+	is.Equal(table.AtEndpoints([]string{"e"}, 0)[0].Memory, 70)
+}
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -141,3 +141,25 @@
 	queries := set.GetOrCreateCounter("cicada_share_unplaced_total").Get()
 	is.True(queries >= 2 && queries <= 6) // two per queryPause
 }
+
+// A request that waits in its host asks again and again. If each query reserved memory, other
+// requests would not get the memory that becomes free.
+func TestRequestThatIsNotSentReservesNothing(t *testing.T) {
+	is := is.New(t)
+	_, member := services(t)
+	q := query()
+	for i := range q.Candidates {
+		q.Candidates[i].Memory, q.Candidates[i].Capacity = 6000, 10_000
+	}
+	q.Holds = true
+	for range 3 {
+		d, ok := member.Place(context.Background(), q)
+		is.True(ok)
+		is.Equal(d.Lacking, 0)
+	}
+	for range 3 { // all have one request of 6,000 tokens by now
+		d, ok := member.Place(context.Background(), q)
+		is.True(ok)
+		is.Equal(d.Lacking, 3000)
+	}
+}
