--- a/router/share/status_test.go
+++ b/router/share/status_test.go
@@ -49,3 +49,11 @@
 	})
 	is.Equal(s.baseStatus("hub").GetPublishedNext(), int64(7))
 }
+
+// Without the memory of other hosts' requests, placement would take full engines for empty
+// ones.
+func TestWorkMessagesCarryMemory(t *testing.T) {
+	is := is.New(t)
+	work := map[string]load.Work{"e": {Running: 2, Memory: 500}, "old": {Running: 3, Unsized: 3}}
+	is.Equal(workFrom(workMessage(work)), work)
+}
