--- a/core/coord/place/memory_test.go
+++ b/core/coord/place/memory_test.go
@@ -77,7 +77,7 @@
 		const slots = 64
 		var with, without []place.Engine
 		for _, id := range []string{"a", "b", "c", "d"} {
-			e := holding(id, slots, rapid.IntRange(0, 90).Draw(t, "running"), rapid.IntRange(100, capacity/slots).Draw(t, "tokens"))
+			e := holding(id, slots, rapid.IntRange(50, 90).Draw(t, "running"), rapid.IntRange(2500, capacity/slots).Draw(t, "tokens"))
 			with = append(with, e)
 			e.Capacity = 0
 			without = append(without, e)
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -157,7 +157,7 @@
 		is.True(ok)
 		is.Equal(d.Lacking, 0)
 	}
-	for range 3 { // all have one request of 6,000 tokens by now
+	for range 6 { // all have one request of 6,000 tokens by now
 		d, ok := member.Place(context.Background(), q)
 		is.True(ok)
 		is.Equal(d.Lacking, 3000)
