--- a/loads/burst/burst.go
+++ b/loads/burst/burst.go
@@ -25,7 +25,7 @@
 	chunkTokens                         = 4096
 	decodeStep                          = 3400 * time.Microsecond
 	burstFrom, burstEnd, arrivalsEnd    = 2 * time.Second, 8600 * time.Millisecond, 10 * time.Second
-	statusInterval, roomInterval        = 60 * time.Millisecond, 30 * time.Millisecond
+	statusInterval, roomInterval        = 60 * time.Millisecond, 50 * time.Millisecond
 	cacheLifetime                       = 2500 * time.Millisecond
 	largeShare                          = 0.2 // of the large account in calm times
 	largeAccount                        = "a"
--- a/router/relay/memory.go
+++ b/router/relay/memory.go
@@ -11,9 +11,10 @@
 	"cicadastand.dev/core/state/clock"
 )
 
-// roomInterval is the time between two attempts to find an engine with room: within it about
-// half of the hosts have told the hub what has finished.
-const roomInterval = 30 * time.Millisecond
+// roomInterval is the time between two attempts to find an engine with room. Within it most
+// hosts have told the hub what has finished, and an attempt costs up to 1 ms of a processor of
+// which a host has a fifth.
+const roomInterval = 50 * time.Millisecond
 
 // waitsForRoom reports whether the request is sent only to engines that do not lack memory
 // for it. Streams that have begun go on at once, since their events would be lost work.
