Leave the last slots of engines to small requests

Cause: the rule on memory applied only if the mean size of an engine's requests exceeded an even part per slot, which short prompts beside long ones keep it below. And each short prompt that found all slots taken by long ones had one of them preempted, as it is more urgent. Change: memory counts as the sum of what fits into the slots at once, whatever the mean; one slot in eight is left to requests that are small against the KV cache per slot.

--- a/core/coord/place/memory.go
+++ b/core/coord/place/memory.go
@@ -18,6 +18,8 @@
 	// preemptWeight multiplies the time to compute the tokens of preempted requests again:
 	// their streams pause, and other prompts at the engine are delayed.
 	preemptWeight = 4
+	// urgentSlots is the part of the slots, one in so many, that is left to small requests.
+	urgentSlots = 8
 	// smallShare is the share of an even part of the KV cache per slot up to which a request
 	// counts as small. Small requests don't wait for room.
 	smallShare = 0.5
@@ -27,14 +29,14 @@
 // complete. mean is assumed for each request whose size is not known.
 func HeldMemory(w load.Work, mean int) int { return w.Memory + w.Unsized*mean }
 
-// isBinding reports whether requests as those at an engine and a new one of memory tokens
-// exceed its KV cache before they use all of its slots.
-func (e Engine) isBinding(memory, mean int) bool {
-	if e.Capacity <= 0 {
-		return false
+// running returns the KV cache tokens of the requests at an engine that fit into its slots at
+// once: those beyond wait and hold none yet.
+func (e Engine) running(mean int) int {
+	held := HeldMemory(e.Work, mean)
+	if n := e.Work.Requests(); n > e.Slots {
+		return held * e.Slots / n
 	}
-	held := HeldMemory(e.Work, mean) + memory
-	return held*e.Slots > e.Capacity*(e.Work.Requests()+1)
+	return held
 }
 
 // memoryCost returns the cost of the prompt parts that a request pushes out of the engine's
@@ -43,10 +45,10 @@
 // The cost grows with the tokens of the request, so short prompts remain cheap at engines
 // that are full of long ones.
 func (e Engine) memoryCost(memory, mean int) time.Duration {
-	if !e.isBinding(memory, mean) {
+	if e.Capacity <= 0 {
 		return 0
 	}
-	held := HeldMemory(e.Work, mean)
+	held := e.running(mean)
 	excess := func(share float64) float64 {
 		limit := share * float64(e.Capacity)
 		return max(0, float64(held+memory)-max(limit, float64(held)))
@@ -56,12 +58,19 @@
 
 // lacking returns how many tokens of KV cache the engine lacks for a request. An engine
 // without other requests lacks none.
+//
+// A request that would take one of the last slots lacks the tokens that it needs: a more
+// urgent one that finds all slots taken has it preempted.
 func (e Engine) lacking(memory, mean int) int {
-	if !e.isBinding(memory, mean) {
+	if e.Capacity <= 0 {
 		return 0
 	}
-	held := HeldMemory(e.Work, mean)
-	return max(0, min(held, held+memory-int(fullShare*float64(e.Capacity))))
+	held := e.running(mean)
+	lacking := max(0, min(held, held+memory-int(fullShare*float64(e.Capacity))))
+	if e.Work.Requests()+1 > e.Slots-e.Slots/urgentSlots {
+		lacking = max(lacking, min(held, memory))
+	}
+	return lacking
 }
 
 // IsSmall reports whether a request is so small against the KV cache of an engine that it
