Learn the capacity of endpoints over all hosts

Hosts exchange their observations of each endpoint's response times through the hubs, and place requests by the learned speed where endpoints of a service differ.

--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -37,6 +37,9 @@
 	stallTolerance = 100 * time.Millisecond
 	// excessRequestCost is the delay per request beyond the engine's slots.
 	excessRequestCost = 40 * time.Millisecond
+	// crowdedRequestCost is the penalty for each request beyond the number that the engine
+	// handles well. It is no delay: the learned speed covers how long requests take then.
+	crowdedRequestCost = 10 * time.Millisecond
 	// fetchFactor scales the estimated time of a cache fetch. It allows for fetches
 	// across failure domains, which take twice as long, and for other transfers on
 	// the same links.
@@ -53,6 +56,12 @@
 	// PrefillRate is the prefill throughput in prompt tokens per second.
 	PrefillRate float64
 	Work        load.Work
+	// Speed is the learned speed relative to the other engines of the service; 0 counts as 1.
+	// PrefillRate includes it.
+	Speed float64
+	// Comfortable is the learned number of requests up to which the engine keeps its response
+	// times; 0 if it is not below Slots.
+	Comfortable int
 	// CachedTokens is the number of leading tokens of the shared prefix that the
 	// engine is known to have cached.
 	CachedTokens int
@@ -144,7 +153,16 @@
 	if e.OldWeights {
 		cost += oldWeightsCost
 	}
-	return cost + stall(e, p.Rank, max(0, p.Tokens-p.reusableTokens(e)))
+	return cost + stall(e, p.Rank, max(0, p.Tokens-p.reusableTokens(e))) + crowding(e)
+}
+
+// crowding returns the penalty for placing a request at an engine that has more requests than
+// it handles well.
+func crowding(e Engine) time.Duration {
+	if e.Comfortable == 0 {
+		return 0
+	}
+	return time.Duration(max(0, e.Work.Requests()+1-e.Comfortable)) * crowdedRequestCost
 }
 
 // stall returns the cost of the pauses in streams that follow from placing a prompt of a
@@ -223,14 +241,20 @@
 	return order
 }
 
-// LeastLoaded returns the index of the engine with the fewest requests per slot,
-// among sampleSize engines starting at offset.
+// LeastLoaded returns the index of the engine with the least expected time, among sampleSize
+// engines starting at offset. While no engine is known to differ from the others, that is the
+// one with the fewest requests per slot.
 func LeastLoaded(engines []Engine, offset, sampleSize int) int {
 	best, least := 0, 0.0
+	// An idle slow engine takes longer than an idle fast one, so the new request counts too.
+	own := 0.0
+	if slices.ContainsFunc(engines, Engine.differs) {
+		own = 1
+	}
 	for i := range min(sampleSize, len(engines)) {
 		j := (i + offset) % len(engines)
 		e := engines[j]
-		fill := (float64(e.Work.Requests()) + remoteSlots(e)) / float64(e.Slots)
+		fill := (float64(e.Work.Requests()) + own + remoteSlots(e)) / e.capacity()
 		if i == 0 || fill < least {
 			best, least = j, fill
 		}
@@ -238,6 +262,21 @@
 	return best
 }
 
+// differs reports whether the engine is known to differ from the others of its service.
+func (e Engine) differs() bool { return e.Comfortable > 0 || e.Speed > 0 && e.Speed != 1 }
+
+// capacity returns the number of requests that the engine handles well, scaled by its speed.
+func (e Engine) capacity() float64 {
+	slots := float64(e.Slots)
+	if e.Comfortable > 0 {
+		slots = min(slots, float64(e.Comfortable))
+	}
+	if e.Speed > 0 {
+		slots *= e.Speed
+	}
+	return slots
+}
+
 // remoteSlots returns the penalty for an engine in another failure domain: the
 // round trip counts as much as half an occupied slot.
 func remoteSlots(e Engine) float64 {
--- a/core/coord/place/query.go
+++ b/core/coord/place/query.go
@@ -31,6 +31,8 @@
 	Cost        time.Duration
 	PrefillRate float64
 	Slots       int
+	// Comfortable is as in Engine.
+	Comfortable int
 }
 
 // Query asks a hub to choose the engine for one request.
@@ -67,7 +69,7 @@
 			cost += remoteHubCost
 		}
 		q.Candidates = append(q.Candidates, Candidate{
-			Index: i, ID: e.ID, PrefillTokens: max(0, p.Tokens-p.reusableTokens(e)), Cost: cost, PrefillRate: e.PrefillRate, Slots: e.Slots,
+			Index: i, ID: e.ID, PrefillTokens: max(0, p.Tokens-p.reusableTokens(e)), Cost: cost, PrefillRate: e.PrefillRate, Slots: e.Slots, Comfortable: e.Comfortable,
 		})
 	}
 	return q
@@ -89,9 +91,9 @@
 	var best Decision
 	least := time.Duration(0)
 	for i, c := range q.Candidates {
-		e := Engine{Slots: c.Slots, PrefillRate: c.PrefillRate, Work: work[i]}
+		e := Engine{Slots: c.Slots, PrefillRate: c.PrefillRate, Comfortable: c.Comfortable, Work: work[i]}
 		wait := Wait(e, q.Rank)
-		if cost := c.Cost + wait + stall(e, q.Rank, c.PrefillTokens); i == 0 || cost < least {
+		if cost := c.Cost + wait + stall(e, q.Rank, c.PrefillTokens) + crowding(e); i == 0 || cost < least {
 			least, best = cost, Decision{Position: i, TokensAhead: work[i].TokensAhead(q.Rank), Wait: wait}
 		}
 	}
--- /dev/null
+++ b/core/coord/speed/evaluate.go
@@ -0,0 +1,254 @@
+package speed
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// prior is the weight with which an estimate is drawn to the service's mean, so that few
+	// observations change little.
+	prior = 5.0
+	// minLog and maxLog bound a relative speed to 0.4 and 2.5, and maxChange its change per
+	// second to a factor of 1.5. Hosts learn of each other's requests late, so they would
+	// overload an endpoint that all of them turn to at once.
+	minLog    = -0.916
+	maxLog    = 0.916
+	maxChange = 0.405
+	// minDifference is the difference, as a logarithm, from which an endpoint is taken to
+	// differ from its service: a factor of 1.3. It must also be minSigmas times its standard
+	// error, which is 4 because the errors of observations close in time are correlated.
+	minDifference = 0.262
+	minSigmas     = 4
+	// onAfter is how long an endpoint must differ before the estimates of its service are
+	// used. They are no longer used when no endpoint has differed by offDifference, a factor
+	// of 1.15, for offAfter.
+	onAfter       = 3 * time.Second
+	offAfter      = 30 * time.Second
+	offDifference = 0.14
+	// kneeHold is how long a comfortable number is kept without a new finding. Then it grows
+	// by a quarter of the slots at a time: requests are kept away from where it was found.
+	kneeHold = 20 * time.Second
+	// minLogged is the change of an estimate, as a logarithm, that is reported: by half.
+	minLogged = 0.405
+	// maxChanges bounds the changes that one evaluation reports; others follow.
+	maxChanges = 8
+)
+
+// estimate is the current estimate of an endpoint.
+type estimate struct {
+	slots int
+	// mean is the mean of the observations, and log the relative speed that is used, both
+	// logarithms.
+	mean float64
+	log  float64
+	// weight is the weight of the observations.
+	weight float64
+	// knee is the first range in which the endpoint slows down; 0 if there is none.
+	knee     int
+	kneeAt   time.Duration
+	reported Estimate
+}
+
+func (e *estimate) comfortable() int {
+	if e.knee == 0 {
+		return 0
+	}
+	return lastBelow(e.knee, e.slots)
+}
+
+// verdict says whether the estimates of a service are used.
+type verdict struct {
+	on bool
+	// differsSince is when an endpoint began to differ; negative if none does.
+	differsSince time.Duration
+	// lastDiffered is when an endpoint last differed by offDifference.
+	lastDiffered time.Duration
+	evaluated    time.Duration
+	hasEvaluated bool
+}
+
+// Change is a change of an endpoint's estimate by half or more, or of the rule for its service.
+type Change struct {
+	Endpoint string
+	// From and To are the estimates.
+	From, To Estimate
+	Weight   float64
+}
+
+// Summary describes the estimates of a service.
+type Summary struct {
+	// On is set if estimates are used, and Switched if that has just changed.
+	On       bool
+	Switched bool
+	// Slowest and Fastest are the extreme relative speeds, and Limited is the number of
+	// endpoints with a comfortable number below their slots.
+	Slowest, Fastest float64
+	Limited          int
+	Changes          []Change
+}
+
+// Evaluate computes the estimates for the endpoints of a service again. It is called about
+// twice a second.
+func (t *Table) Evaluate(name string, endpoints []Endpoint, now time.Duration) Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(name)
+	pooled := make([]*sums, len(endpoints))
+	all := &sums{}
+	for i, e := range endpoints {
+		pooled[i] = t.pool(e.Incarnation, now, everyPeer)
+		all.add(pooled[i])
+	}
+	elapsed := time.Duration(0)
+	if s.hasEvaluated {
+		elapsed = now - s.evaluated
+	} else {
+		s.differsSince = -1
+	}
+	s.evaluated, s.hasEvaluated = now, true
+	findings := make([]finding, len(endpoints))
+	for i, e := range endpoints {
+		findings[i] = compare(pooled[i], all, s.noise)
+		known := t.known[e.Incarnation]
+		if known == nil {
+			known = &estimate{reported: Estimate{Relative: 1}}
+			t.known[e.Incarnation] = known
+		}
+		known.slots = e.Slots
+		known.mean, known.weight = findings[i].mean, findings[i].weight
+	}
+	out := Summary{Switched: s.judge(findings, now), On: s.on, Slowest: 1, Fastest: 1}
+	for i, e := range endpoints {
+		known := t.known[e.Incarnation]
+		known.follow(findings[i], s.on, elapsed, now)
+		current := t.estimate(e.Incarnation)
+		out.Slowest, out.Fastest = min(out.Slowest, current.Relative), max(out.Fastest, current.Relative)
+		if known.knee > 0 {
+			out.Limited++
+		}
+		if math.Abs(math.Log(current.Relative/known.reported.Relative)) >= minLogged && len(out.Changes) < maxChanges {
+			out.Changes = append(out.Changes, Change{Endpoint: e.Endpoint, From: known.reported, To: current, Weight: known.weight})
+			known.reported = current
+		}
+	}
+	return out
+}
+
+// finding is how an endpoint compares with the others of its service.
+type finding struct {
+	// mean is the mean of all observations, weight their weight.
+	mean, weight float64
+	// difference is the mean difference to the service at the same fill of the slots, below
+	// the knee. deviation is its standard error.
+	difference, deviation float64
+	// used is the weight of the observations below the knee.
+	used float64
+	knee int
+}
+
+// compare compares the observations of an endpoint with those of all, its own included.
+func compare(e, all *sums, noise float64) finding {
+	weight, value := e.total()
+	if weight < minWeight {
+		return finding{deviation: math.Inf(1)}
+	}
+	f := finding{mean: value / weight, weight: weight, knee: knee(e, all, noise)}
+	allWeight, allValue := all.total()
+	mean := allValue / allWeight
+	for b := range Bins {
+		if f.knee > 0 && b >= f.knee {
+			break
+		}
+		reference := (all.value[b] + prior*mean) / (all.weight[b] + prior)
+		f.difference += e.value[b] - e.weight[b]*reference
+		f.used += e.weight[b]
+	}
+	if f.used < minWeight {
+		f.difference, f.deviation = 0, math.Inf(1)
+		return f
+	}
+	f.difference /= f.used
+	f.deviation = math.Sqrt(noise / f.used)
+	return f
+}
+
+// knee returns the first range from which on an endpoint is slower than below it, compared
+// with the other endpoints at the same fill; 0 if there is none. Of several, it is the one
+// that is the clearest.
+func knee(e, all *sums, noise float64) int {
+	var below, others sums
+	others = *all
+	others.subtract(e)
+	for b := range Bins {
+		if e.weight[b] >= minWeight && others.weight[b] >= prior {
+			below.weight[b] = e.weight[b]
+			below.value[b] = e.value[b] - e.weight[b]*others.value[b]/others.weight[b]
+		}
+	}
+	best, clearest := 0, float64(minSigmas)
+	allWeight, allValue := below.total()
+	lowWeight, lowValue := 0.0, 0.0
+	for b := 1; b < Bins; b++ {
+		lowWeight += below.weight[b-1]
+		lowValue += below.value[b-1]
+		highWeight := allWeight - lowWeight
+		if lowWeight < prior || highWeight < prior {
+			continue
+		}
+		drop := lowValue/lowWeight - (allValue-lowValue)/highWeight
+		sigmas := drop / math.Sqrt(noise/lowWeight+noise/highWeight)
+		if drop >= minDifference && sigmas > clearest {
+			best, clearest = b, sigmas
+		}
+	}
+	return best
+}
+
+// judge decides whether the estimates of the service are used. It reports whether that has
+// changed.
+func (s *service) judge(findings []finding, now time.Duration) bool {
+	differs, remains := false, false
+	for _, f := range findings {
+		size := math.Abs(f.difference)
+		differs = differs || f.knee > 0 || size >= max(minDifference, minSigmas*f.deviation)
+		remains = remains || f.knee > 0 || size >= offDifference && f.used >= prior
+	}
+	switch {
+	case !differs:
+		s.differsSince = -1
+	case s.differsSince < 0:
+		s.differsSince = now
+	}
+	if remains {
+		s.lastDiffered = now
+	}
+	before := s.on
+	if s.on {
+		s.on = now-s.lastDiffered < offAfter
+	} else {
+		s.on = differs && now-s.differsSince >= onAfter
+	}
+	return s.on != before
+}
+
+// follow moves the estimate toward a finding.
+func (e *estimate) follow(f finding, on bool, elapsed, now time.Duration) {
+	target := 0.0
+	if on {
+		target = max(minLog, min(maxLog, f.difference*f.used/(f.used+prior)))
+	}
+	step := maxChange * elapsed.Seconds()
+	e.log += max(-step, min(step, target-e.log))
+	switch {
+	case !on:
+		e.knee = 0
+	case f.knee > 0:
+		e.knee, e.kneeAt = f.knee, now
+	case e.knee > 0 && now-e.kneeAt >= kneeHold:
+		e.kneeAt = now
+		if e.knee++; e.knee >= Bins {
+			e.knee = 0
+		}
+	}
+}
--- a/router/cli/cli.go
+++ b/router/cli/cli.go
@@ -33,6 +33,7 @@
 	path := fs.String("settings", "router.yaml", "file with the settings")
 	checkOnly := fs.Bool("check-settings", false, "check the settings and exit")
 	metricsPort := fs.Uint("metrics-port", 0, "on a platform, the port of the metrics; 0 for none")
+	learn := fs.Bool("learn-capacity", true, "on a platform, learn the speed of endpoints and place requests by it where endpoints differ")
 	if err := fs.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return exitOK
@@ -40,7 +41,7 @@
 		return exitSettings
 	}
 	if platformPath, ok := local.Path(); ok {
-		return runHosted(platformPath, *checkOnly, uint16(*metricsPort), stdout, stderr)
+		return runHosted(platformPath, *checkOnly, hostedOptions{metricsPort: uint16(*metricsPort), fixedCapacity: !*learn}, stdout, stderr)
 	}
 	settings, err := prefs.Load(*path)
 	if err != nil {
--- a/router/cli/hosted.go
+++ b/router/cli/hosted.go
@@ -20,8 +20,14 @@
 // and counted.
 const logCapacity = 4096
 
+// hostedOptions are the flags of a router on a platform.
+type hostedOptions struct {
+	metricsPort   uint16
+	fixedCapacity bool
+}
+
 // runHosted runs a router with the settings file of a platform.
-func runHosted(path string, checkOnly bool, metricsPort uint16, stdout, stderr io.Writer) int {
+func runHosted(path string, checkOnly bool, opts hostedOptions, stdout, stderr io.Writer) int {
 	p, err := platform.Open(path)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
@@ -34,7 +40,7 @@
 	out := logbuf.New(stdout, logCapacity)
 	defer out.Close()
 	logger := hclog.New(&hclog.LoggerOptions{Name: "router", Level: hclog.Info, JSONFormat: true, Output: out})
-	h := hosted.New(hosted.Config{Platform: p, Clock: clock.New(), MetricsPort: metricsPort, Logger: logger})
+	h := hosted.New(hosted.Config{Platform: p, Clock: clock.New(), MetricsPort: opts.metricsPort, FixedCapacity: opts.fixedCapacity, Logger: logger})
 	if err := serveHosted(h, path); err != nil {
 		logger.Error("router failed", "error", err)
 		return exitFailure
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -23,6 +23,7 @@
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/reach"
 	"cicadastand.dev/core/coord/room"
+	"cicadastand.dev/core/coord/speed"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
@@ -55,8 +56,10 @@
 	// MetricsPort is the port of the metrics on the host's address; 0 disables them.
 	MetricsPort uint16
 	// Dial opens connections to endpoints; nil for the default.
-	Dial   dialer.Func
-	Logger hclog.Logger
+	Dial dialer.Func
+	// FixedCapacity makes all endpoints of a service count as equally fast.
+	FixedCapacity bool
+	Logger        hclog.Logger
 }
 
 const (
@@ -154,6 +157,7 @@
 	pace       *pace.Table
 	avoid      *avoid.Table
 	room       *room.Table
+	speeds     *speed.Table
 	reach      *reach.Table
 	taint      *taint.Table
 	conns      *conns.Pool
@@ -185,6 +189,7 @@
 		pauses:     pause.New(),
 		avoid:      avoid.New(),
 		room:       room.New(),
+		speeds:     speed.New(speed.Config{Disabled: cfg.FixedCapacity}),
 		metrics:    metrics.NewSet(),
 	}
 	h.pace = pace.New(pace.Config{Counter: h.loads})
@@ -235,6 +240,7 @@
 		Pace:             h.pace,
 		Avoid:            h.avoid,
 		Room:             h.room,
+		Speeds:           h.speeds,
 		Budget:           retryBudget,
 		Poison:           suspects,
 		Taint:            h.taint,
@@ -280,6 +286,7 @@
 		PlacementUpdates: placementUpdates,
 		Pauses:           h.pauses,
 		Room:             h.room,
+		Speeds:           h.speeds,
 		Lease:            h,
 		Serve:            h.relay.ServeForwarded,
 		Interval:         shareInterval,
@@ -429,6 +436,7 @@
 			h.pace.Retain(known)
 			h.room.Retain(known)
 			h.avoid.Retain(known, h.cfg.Clock.Boot())
+			h.speeds.Retain(func(e speed.Incarnation) bool { return isListed(view, e) }, h.cfg.Clock.Boot())
 			h.relay.Prune(known)
 			h.relay.PruneCrashes(known)
 			h.taint.Sweep(h.cfg.Clock.Boot())
--- a/router/hosted/lifecycle.go
+++ b/router/hosted/lifecycle.go
@@ -39,7 +39,7 @@
 	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h.cancel = cancel
 	for _, loop := range []func(context.Context){
-		h.watch.RunPublished, h.watch.RunEntries, h.registrar.Run, h.share.Run, h.weight.Run, h.keep.RunWrites, h.keep.RunReads, h.keep.RunBases, h.relay.RunProbes, h.sweep,
+		h.watch.RunPublished, h.watch.RunEntries, h.registrar.Run, h.share.Run, h.weight.Run, h.keep.RunWrites, h.keep.RunReads, h.keep.RunBases, h.relay.RunProbes, h.sweep, h.learn,
 	} {
 		h.workers.Add(1)
 		w := &worker{loop: loop, done: &h.workers}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -256,6 +256,9 @@
 	if success && j.route.Kind == site.Stream {
 		return j.stream(ctx, c, resp, tracked, sent)
 	}
+	if success && !j.isModel() {
+		j.observeSpeed(c, sent)
+	}
 	body, complete, err := j.held.readBody(resp)
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errCutOff) {
--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -38,6 +38,8 @@
 	firstToken time.Duration
 	// wait is the part of firstToken until the endpoint starts the prefill.
 	wait time.Duration
+	// inProgress is the number of requests at the endpoint, this one included.
+	inProgress int
 	// waiting is the average number of waiting requests per engine.
 	waiting float64
 	// tokensAhead is the number of queued prompt tokens ahead of this prompt.
@@ -105,10 +107,11 @@
 func (j *job) chooseLeastLoaded(list []*site.Endpoint, work map[string]load.Work) choice {
 	engines := make([]place.Engine, len(list))
 	for i, e := range list {
-		engines[i] = place.Engine{ID: e.ID, Slots: e.Slots, Work: work[e.ID], Remote: e.FailureDomain != j.r.cfg.FailureDomain}
+		learned := j.r.cfg.Speeds.Estimate(speedKey(e))
+		engines[i] = place.Engine{ID: e.ID, Slots: e.Slots, Work: work[e.ID], Speed: learned.Relative, Comfortable: learned.Comfortable, Remote: e.FailureDomain != j.r.cfg.FailureDomain}
 	}
 	at := place.LeastLoaded(engines, int(j.r.roundRobin.Add(1)%uint64(len(list))), j.r.cfg.SampleSize())
-	return choice{endpoint: list[at]}
+	return choice{endpoint: list[at], inProgress: engines[at].Work.Requests() + 1}
 }
 
 // prompt returns the input of the placement.
@@ -146,8 +149,9 @@
 		engines[i] = place.Engine{
 			ID:           e.ID,
 			Slots:        e.Slots,
-			PrefillRate:  j.r.prefill.rate(j.serviceName, e.ID),
+			PrefillRate:  j.r.cfg.Speeds.PrefillRate(j.serviceName, speedKey(e)),
 			Work:         work[e.ID],
+			Comfortable:  j.r.cfg.Speeds.Estimate(speedKey(e)).Comfortable,
 			CachedTokens: j.r.cfg.CacheIndex.CachedTokens(e.ID, loaded[i].version, j.cacheSalt(), j.params.Shared(), since),
 			CanFetch:     loaded[i].valid,
 			OldWeights:   loaded[i].version < newest,
@@ -168,6 +172,7 @@
 		cached:        engines[c.Index].CachedTokens,
 		firstToken:    c.FirstToken,
 		wait:          c.Wait,
+		inProgress:    engines[c.Index].Work.Requests() + 1,
 		waiting:       waiting,
 		tokensAhead:   c.TokensAhead,
 		isOwner:       c.IsOwner,
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -21,6 +21,7 @@
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/reach"
 	"cicadastand.dev/core/coord/room"
+	"cicadastand.dev/core/coord/speed"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/state/clock"
@@ -94,6 +95,8 @@
 	Pace *pace.Table
 	// Room limits how many requests wait at brittle endpoints.
 	Room *room.Table
+	// Speeds holds the learned capacity of endpoints.
+	Speeds *speed.Table
 	// Avoid holds the endpoints that asked to get no requests for a time.
 	Avoid *avoid.Table
 	// PlacementUpdates sends the other hosts the placements that they would not expect.
@@ -134,7 +137,6 @@
 // Relay is the HTTP handler of clients' requests.
 type Relay struct {
 	cfg        Config
-	prefill    *prefillRates
 	prompts    *promptLengths
 	weights    *reportedWeights
 	crashes    *crashes
@@ -164,7 +166,6 @@
 func New(cfg Config) *Relay {
 	r := &Relay{
 		cfg:        cfg,
-		prefill:    newPrefillRates(),
 		prompts:    newPromptLengths(),
 		weights:    newReportedWeights(),
 		latency:    cfg.Metrics.NewHistogram("cicada_relay_seconds"),
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -182,17 +182,13 @@
 	return false, nil
 }
 
-// recordFirstEvent updates the time to the first byte and, for a generation, the
-// prefill rate of the endpoint.
+// recordFirstEvent updates the time to the first byte and the speed of the endpoint.
 func (j *job) recordFirstEvent(c choice, sent time.Time) {
 	if j.firstByte == 0 {
 		j.firstByte = j.r.cfg.Clock.Now().Sub(j.start)
 		j.r.firstByte.Update(j.firstByte.Seconds())
 	}
-	if !j.isModel() {
-		return
-	}
-	j.r.prefill.observe(j.serviceName, c.endpoint.ID, c.tokensAhead+c.prefillTokens, j.r.cfg.Clock.Now().Sub(sent))
+	j.observeSpeed(c, sent)
 }
 
 // checkEvent checks that an event is the next one of the stream. A faulty endpoint may send
--- a/router/share/place.go
+++ b/router/share/place.go
@@ -82,6 +82,8 @@
 				CostUs:   uint32(c.Cost.Microseconds()),
 				Rate:     uint32(c.PrefillRate),
 				Slots:    uint32(c.Slots),
+
+				Comfortable: uint32(c.Comfortable),
 			}
 		}),
 	}
@@ -97,6 +99,7 @@
 				Cost:          time.Duration(c.GetCostUs()) * time.Microsecond,
 				PrefillRate:   float64(max(1, c.GetRate())),
 				Slots:         int(c.GetSlots()),
+				Comfortable:   int(c.GetComfortable()),
 			}
 		}),
 	}
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -18,6 +18,7 @@
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/room"
+	"cicadastand.dev/core/coord/speed"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
@@ -80,7 +81,7 @@
 	}
 	s := share.New(share.Config{
 		Clock: clock.Real{}, Self: self, Hubs: table, Store: emptyStore{}, Mirror: mirror.New(), Loads: load.New(time.Second),
-		Poison: poison.New(poison.Config{Retention: time.Second}), Taint: taint.New(taint.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(), Room: room.New(), Lease: noLease{}, Serve: serveTeapot,
+		Poison: poison.New(poison.Config{Retention: time.Second}), Taint: taint.New(taint.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(), Room: room.New(), Speeds: speed.New(speed.Config{}), Lease: noLease{}, Serve: serveTeapot,
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: set,
 	})
 	if err := s.Listen(context.Background()); err != nil {
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -25,6 +25,7 @@
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/room"
+	"cicadastand.dev/core/coord/speed"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
@@ -84,6 +85,7 @@
 	PlacementUpdates *kvmap.Outbox
 	Pauses           *pause.Table
 	Room             *room.Table
+	Speeds           *speed.Table
 	Lease            Lease
 	// Serve serves a request of a client of another host. It returns call.ErrNotForwarded if
 	// the request has not run, because this host can't serve it.
@@ -269,6 +271,7 @@
 	if !s.cfg.Hubs.IsMesh() {
 		if !s.IsHub() {
 			s.cfg.Loads.UpdatePeer(hub, load.ScopeOthers, workFrom(in.GetWork()), demandFrom(in.GetDemand()), now)
+			s.cfg.Speeds.Receive(hub, load.ScopeOthers, speedsFrom(in.GetSpeeds()), now)
 		}
 	}
 	s.receivePauses(in.GetPauses())
@@ -301,6 +304,7 @@
 	} else {
 		s.cfg.Loads.UpdatePeer(name, scope, workFrom(in.GetWork()), demandFrom(in.GetDemand()), now)
 	}
+	s.cfg.Speeds.Receive(name, scope, speedsFrom(in.GetSpeeds()), now)
 	s.mergeSuspects(in.GetSuspects())
 	s.mergeCrashes(in.GetCrashes())
 	s.receiveBrittle(in.GetBrittle())
@@ -350,6 +354,9 @@
 		Brittle:    s.brittle(),
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(in.GetHost(), now), placementMessage),
 	}
+	if !s.cfg.Hubs.IsMesh() {
+		out.Speeds = speedMessages(s.cfg.Speeds.Others(in.GetHost(), now))
+	}
 	s.addReads(out, in, func(feed.ReadMark) bool { return true })
 	return out
 }
@@ -359,6 +366,7 @@
 	out := s.baseStatus(to)
 	out.Work = workMessage(s.cfg.Loads.Own(s.cfg.Clock.Boot()))
 	out.Demand = demandMessage(s.cfg.Loads.Demand(s.cfg.Clock.Boot()))
+	out.Speeds = speedMessages(s.cfg.Speeds.Own(to, s.cfg.Clock.Boot()))
 	return out
 }
 
@@ -369,6 +377,7 @@
 	now := s.cfg.Clock.Boot()
 	out.Work = workMessage(s.cfg.Loads.DomainTotal(now))
 	out.Demand = demandMessage(s.cfg.Loads.DomainDemand(now))
+	out.Speeds = speedMessages(s.cfg.Speeds.Domain(to, now))
 	return out
 }
 
