--- a/core/coord/speed/evaluate.go
+++ b/core/coord/speed/evaluate.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// prior is the weight with which an estimate is drawn to the service's mean, so that few
-	// observations change little.
-	prior = 5.0
+	// fewWeight is the weight below which observations say too little for a comparison of how
+	// endpoints slow down.
+	fewWeight = 5.0
 	// minLog and maxLog bound a relative speed to 0.4 and 2.5, and maxChange its change per
 	// second to a factor of 1.5. Hosts learn of each other's requests late, so they would
 	// overload an endpoint that all of them turn to at once.
@@ -17,15 +17,20 @@
 	maxChange = 0.405
 	// minDifference is the difference, as a logarithm, from which an endpoint is taken to
 	// differ from its service: a factor of 1.3. It must also be minSigmas times its standard
-	// error, which is 4 because the errors of observations close in time are correlated.
-	minDifference = 0.262
-	minSigmas     = 4
+	// error. Requests that come in one wave, as hosts learn late of each other's, err alike:
+	// observations of a total weight above maxIndependent make an error no smaller.
+	minDifference  = 0.262
+	minSigmas      = 4
+	maxIndependent = 30
 	// onAfter is how long an endpoint must differ before the estimates of its service are
 	// used. They are no longer used when no endpoint has differed by offDifference, a factor
 	// of 1.15, for offAfter.
-	onAfter       = 3 * time.Second
+	onAfter       = 2 * time.Second
 	offAfter      = 30 * time.Second
 	offDifference = 0.14
+	// kneeAfter is how long an endpoint must be seen to slow down before its comfortable
+	// number is used.
+	kneeAfter = 3 * time.Second
 	// kneeHold is how long a comfortable number is kept without a new finding. Then it grows
 	// by a quarter of the slots at a time: requests are kept away from where it was found.
 	kneeHold = 20 * time.Second
@@ -45,9 +50,11 @@
 	// weight is the weight of the observations.
 	weight float64
 	// knee is the first range in which the endpoint slows down; 0 if there is none.
-	knee     int
-	kneeAt   time.Duration
-	reported Estimate
+	knee   int
+	kneeAt time.Duration
+	// slowsSince is when it was first seen to slow down; negative if it was not last time.
+	slowsSince time.Duration
+	reported   Estimate
 }
 
 func (e *estimate) comfortable() int {
@@ -112,7 +119,7 @@
 		findings[i] = compare(pooled[i], all, s.noise)
 		known := t.known[e.Incarnation]
 		if known == nil {
-			known = &estimate{reported: Estimate{Relative: 1}}
+			known = &estimate{reported: Estimate{Relative: 1}, slowsSince: -1}
 			t.known[e.Incarnation] = known
 		}
 		known.slots = e.Slots
@@ -121,7 +128,7 @@
 	out := Summary{Switched: s.judge(findings, now), On: s.on, Slowest: 1, Fastest: 1}
 	for i, e := range endpoints {
 		known := t.known[e.Incarnation]
-		known.follow(findings[i], s.on, elapsed, now)
+		known.follow(findings[i], s, elapsed, now)
 		current := t.estimate(e.Incarnation)
 		out.Slowest, out.Fastest = min(out.Slowest, current.Relative), max(out.Fastest, current.Relative)
 		if known.knee > 0 {
@@ -160,7 +167,7 @@
 		if f.knee > 0 && b >= f.knee {
 			break
 		}
-		reference := (all.value[b] + prior*mean) / (all.weight[b] + prior)
+		reference := (all.value[b] + fewWeight*mean) / (all.weight[b] + fewWeight)
 		f.difference += e.value[b] - e.weight[b]*reference
 		f.used += e.weight[b]
 	}
@@ -169,10 +176,13 @@
 		return f
 	}
 	f.difference /= f.used
-	f.deviation = math.Sqrt(noise / f.used)
+	f.deviation = math.Sqrt(variance(noise, f.used))
 	return f
 }
 
+// variance returns that of a mean of observations.
+func variance(noise, weight float64) float64 { return noise / min(weight, maxIndependent) }
+
 // knee returns the first range from which on an endpoint is slower than below it, compared
 // with the other endpoints at the same fill; 0 if there is none. Of several, it is the one
 // that is the clearest.
@@ -181,7 +191,7 @@
 	others = *all
 	others.subtract(e)
 	for b := range Bins {
-		if e.weight[b] >= minWeight && others.weight[b] >= prior {
+		if e.weight[b] >= minWeight && others.weight[b] >= fewWeight {
 			below.weight[b] = e.weight[b]
 			below.value[b] = e.value[b] - e.weight[b]*others.value[b]/others.weight[b]
 		}
@@ -193,11 +203,11 @@
 		lowWeight += below.weight[b-1]
 		lowValue += below.value[b-1]
 		highWeight := allWeight - lowWeight
-		if lowWeight < prior || highWeight < prior {
+		if lowWeight < fewWeight || highWeight < fewWeight {
 			continue
 		}
 		drop := lowValue/lowWeight - (allValue-lowValue)/highWeight
-		sigmas := drop / math.Sqrt(noise/lowWeight+noise/highWeight)
+		sigmas := drop / math.Sqrt(variance(noise, lowWeight)+variance(noise, highWeight))
 		if drop >= minDifference && sigmas > clearest {
 			best, clearest = b, sigmas
 		}
@@ -212,7 +222,7 @@
 	for _, f := range findings {
 		size := math.Abs(f.difference)
 		differs = differs || f.knee > 0 || size >= max(minDifference, minSigmas*f.deviation)
-		remains = remains || f.knee > 0 || size >= offDifference && f.used >= prior
+		remains = remains || f.knee > 0 || size >= offDifference && f.used >= fewWeight
 	}
 	switch {
 	case !differs:
@@ -233,17 +243,26 @@
 }
 
 // follow moves the estimate toward a finding.
-func (e *estimate) follow(f finding, on bool, elapsed, now time.Duration) {
+func (e *estimate) follow(f finding, s *service, elapsed, now time.Duration) {
 	target := 0.0
-	if on {
+	if s.on {
+		// The weight of the assumption that the endpoint does not differ: that of an
+		// observation whose variance is the square of the least difference that counts.
+		prior := s.noise / (minDifference * minDifference)
 		target = max(minLog, min(maxLog, f.difference*f.used/(f.used+prior)))
 	}
 	step := maxChange * elapsed.Seconds()
 	e.log += max(-step, min(step, target-e.log))
 	switch {
-	case !on:
+	case f.knee == 0:
+		e.slowsSince = -1
+	case e.slowsSince < 0:
+		e.slowsSince = now
+	}
+	switch {
+	case !s.on:
 		e.knee = 0
-	case f.knee > 0:
+	case f.knee > 0 && now-e.slowsSince >= kneeAfter:
 		e.knee, e.kneeAt = f.knee, now
 	case e.knee > 0 && now-e.kneeAt >= kneeHold:
 		e.kneeAt = now
