--- a/core/coord/speed/evaluate.go
+++ b/core/coord/speed/evaluate.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -116,12 +117,12 @@
 	s.evaluated, s.hasEvaluated = now, true
 	findings := make([]finding, len(endpoints))
 	for i, e := range endpoints {
-		findings[i] = compare(pooled[i], all, s.noise)
 		known := t.known[e.Incarnation]
 		if known == nil {
 			known = &estimate{reported: Estimate{Relative: 1}, slowsSince: -1}
 			t.known[e.Incarnation] = known
 		}
+		findings[i] = compare(pooled[i], all, s.noise, known.knee)
 		known.slots = e.Slots
 		known.mean, known.weight = findings[i].mean, findings[i].weight
 	}
@@ -155,7 +156,8 @@
 }
 
 // compare compares the observations of an endpoint with those of all, its own included.
-func compare(e, all *sums, noise float64) finding {
+// heldKnee is the knee that was found before.
+func compare(e, all *sums, noise float64, heldKnee int) finding {
 	weight, value := e.total()
 	if weight < minWeight {
 		return finding{deviation: math.Inf(1)}
@@ -163,10 +165,8 @@
 	f := finding{mean: value / weight, weight: weight, knee: knee(e, all, noise)}
 	allWeight, allValue := all.total()
 	mean := allValue / allWeight
-	for b := range Bins {
-		if f.knee > 0 && b >= f.knee {
-			break
-		}
+	below := cmp.Or(f.knee, heldKnee, Bins)
+	for b := range below {
 		reference := (all.value[b] + fewWeight*mean) / (all.weight[b] + fewWeight)
 		f.difference += e.value[b] - e.weight[b]*reference
 		f.used += e.weight[b]
--- a/core/coord/speed/speed.go
+++ b/core/coord/speed/speed.go
@@ -40,7 +40,7 @@
 	minServiceObservations = 10
 	// trim bounds how far an observation counts from the endpoint's mean, as a logarithm:
 	// preempted requests take ten times as long and more.
-	trim = 1.1
+	trim = 1.4
 	// fullWeightTime is the expected prefill time from which an observation has the weight 1.
 	// The time of a short prompt is mostly noise from queued tokens that are known late.
 	fullWeightTime    = 200 * time.Millisecond
--- a/core/coord/speed/speed_test.go
+++ b/core/coord/speed/speed_test.go
@@ -24,6 +24,8 @@
 	hosts  []*speed.Table
 	// delay returns the time that a message takes; negative if it is lost.
 	delay func() time.Duration
+	// hub returns the hub of a domain; by default its first host.
+	hub func(domain int) int
 	// mute hosts are of the release before and send nothing.
 	mute      func(host int) bool
 	queue     []message
@@ -52,6 +54,7 @@
 func newSystem(hosts, endpoints, slots int) *system {
 	s := &system{random: rand.New(rand.NewPCG(uint64(hosts), uint64(endpoints))), noise: 0.5, perSecond: 9 * float64(endpoints)}
 	s.delay = func() time.Duration { return time.Duration(s.random.IntN(60)) * time.Millisecond }
+	s.hub = func(domain int) int { return domain }
 	s.mute = func(int) bool { return false }
 	s.rate = func(int, int, time.Duration) float64 { return 1 }
 	for range hosts {
@@ -71,19 +74,18 @@
 }
 
 // exchange sends the status of each host to its hub, the replies, and the status of the hubs.
-// The hub of a domain is its first host.
 func (s *system) exchange() {
 	for i, h := range s.hosts {
-		hub := i % domains
+		domain := i % domains
+		hub, name := s.hub(domain), fmt.Sprint("h", i)
 		if i == hub {
 			for other := range domains {
-				if other != i {
-					s.send(i, other, fmt.Sprint("domain ", i), load.ScopeDomain, h.Domain(fmt.Sprint("h", other), s.now))
+				if other != domain {
+					s.send(i, s.hub(other), fmt.Sprint("domain ", domain), load.ScopeDomain, h.Domain(fmt.Sprint("h", s.hub(other)), s.now))
 				}
 			}
 			continue
 		}
-		name := fmt.Sprint("h", i)
 		s.send(i, hub, name, load.ScopeHost, h.Own(fmt.Sprint("h", hub), s.now))
 		s.send(hub, i, fmt.Sprint("h", hub), load.ScopeOthers, s.hosts[hub].Others(name, s.now))
 	}
@@ -106,7 +108,7 @@
 	}, s.now)
 }
 
-// run replays a time. Of the hosts, 0 (a hub) and 1 to 5 evaluate their estimates.
+// run replays a time. The first six hosts, of which three are hubs, evaluate their estimates.
 func (s *system) run(span time.Duration) {
 	const step = 60 * time.Millisecond
 	for end := s.now + span; s.now < end; s.now += step {
@@ -155,6 +157,7 @@
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			is := is.New(t)
 			s := newSystem(hosts, 60, 64)
+			s.hub = func(domain int) int { return domain }
 			s.mute = func(host int) bool { return host >= domains && host%5 == 4 }
 			s.rate = func(endpoint, _ int, _ time.Duration) float64 { return []float64{1, 2}[endpoint%2] }
 			s.run(20 * time.Second)
@@ -167,3 +170,147 @@
 		})
 	}
 }
+
+// The bounds keep hosts, which learn of each other's requests late, from turning to a fast
+// endpoint at once.
+func TestEstimatesAreBoundedAndChangeSlowly(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(12, 4, 8)
+	s.rate = func(endpoint, _ int, _ time.Duration) float64 { return []float64{0.1, 1, 1, 10}[endpoint] }
+	before := s.relative(3)[0]
+	for range 30 {
+		s.run(time.Second)
+		now := s.relative(3)[0]
+		is.True(math.Abs(math.Log(now/before)) <= 1.6*math.Log(1.5)) // two or three evaluations
+		before = now
+	}
+	is.True(within(s.relative(0), 0.399, 0.401))
+	is.True(within(s.relative(3), 2.4, 2.501))
+}
+
+// An endpoint takes three times as long for 20 s. A slow-down that is found too late, or
+// remembered, costs requests their targets or an endpoint its use.
+func TestSlowDownAndRecoveryAreFollowed(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(82, 30, 16)
+	s.rate = func(endpoint, _ int, now time.Duration) float64 {
+		if endpoint == 7 && now > 20*time.Second && now < 40*time.Second {
+			return 1.0 / 3
+		}
+		return 1
+	}
+	s.run(20 * time.Second)
+	is.True(within(s.relative(7), 1, 1))
+	s.run(10 * time.Second)
+	is.True(within(s.relative(7), 0.4, 0.75))
+	s.run(25 * time.Second) // until 15 s after the recovery
+	is.True(within(s.relative(7), 0.85, 1.15))
+	is.True(within(s.relative(8), 0.85, 1.15))
+}
+
+// An endpoint of 16 slots takes longer from 9 requests on, out of proportion.
+func TestSlowDownAtHalfTheSlotsIsFound(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(82, 10, 16)
+	s.rate = func(endpoint, inProgress int, _ time.Duration) float64 {
+		if endpoint == 3 && inProgress > 8 {
+			return 0.35
+		}
+		return 1
+	}
+	s.run(30 * time.Second)
+	for i, e := range s.endpoints {
+		for _, h := range s.hosts[:6] {
+			want := 0
+			if i == 3 {
+				want = 8
+			}
+			is.Equal(h.Estimate(e.Incarnation).Comfortable, want)
+		}
+	}
+	is.True(within(s.relative(3), 0.85, 1.2)) // it is not slow at few requests
+	s.rate = func(int, int, time.Duration) float64 { return 1 }
+	s.run(90 * time.Second) // it is tried at more requests again
+	is.Equal(s.hosts[1].Estimate(s.endpoints[3].Incarnation).Comfortable, 0)
+}
+
+// A slow endpoint restarts under the same ID, and a late message tells of the start before.
+func TestRestartedEndpointBeginsAtTheMean(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(12, 4, 8)
+	slow := true
+	s.rate = func(endpoint, _ int, _ time.Duration) float64 {
+		if endpoint == 0 && slow {
+			return 0.3
+		}
+		return 1
+	}
+	s.run(20 * time.Second)
+	is.True(within(s.relative(0), 0.4, 0.6))
+	s.endpoints[0].StartedMs, slow = 20_000, false
+	is.True(within(s.relative(0), 1, 1))
+	s.run(5 * time.Second)
+	is.True(within(s.relative(0), 0.85, 1.15))
+	old := speed.Report{Incarnation: speed.Incarnation{Endpoint: "e0"}, Weights: [speed.Bins]float64{100}, Means: [speed.Bins]float64{-0.9}}
+	for i, h := range s.hosts {
+		h.Receive(fmt.Sprint("h", (i+1)%12), load.ScopeHost, []speed.Report{old}, s.now)
+		h.Retain(func(e speed.Incarnation) bool { return e.Endpoint != "e0" || e.StartedMs != 0 }, s.now)
+	}
+	s.run(5 * time.Second)
+	is.True(within(s.relative(0), 0.85, 1.15))
+}
+
+// Messages are lost, late and overtake each other, and hubs change: no observation may count
+// twice, or be lost for good.
+func TestObservationsCountOnce(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := newSystem(rapid.IntRange(2*domains, 30).Draw(r, "hosts"), rapid.IntRange(1, 20).Draw(r, "endpoints"), 8)
+		lost, late := rapid.IntRange(0, 40).Draw(r, "lost percent"), rapid.IntRange(1, 400).Draw(r, "latest ms")
+		s.delay = func() time.Duration {
+			if s.random.IntN(100) < lost {
+				return -1
+			}
+			return time.Duration(s.random.IntN(late)) * time.Millisecond
+		}
+		s.run(rapid.SampledFrom([]time.Duration{3 * time.Second, 12 * time.Second}).Draw(r, "span"))
+		if rapid.Bool().Draw(r, "hubs change") {
+			s.hub = func(domain int) int { return domain + domains }
+			s.run(4 * time.Second)
+		}
+		total := func(reports []speed.Report) float64 {
+			return lo.SumBy(reports, func(r speed.Report) float64 { return lo.Sum(r.Weights[:]) })
+		}
+		s.perSecond = 0
+		s.run(4 * time.Second)
+		all := lo.SumBy(s.hosts, func(h *speed.Table) float64 { return total(h.Own("probe", s.now)) })
+		for i, h := range s.hosts {
+			// Each of three messages may add as much as the observations fade within 400 ms.
+			if got := total(h.Others("probe", s.now)); got > 1.3*all || lost == 0 && got < 0.7*all-1 {
+				r.Fatalf("host %d counts %.2f of %.2f", i, got, all)
+			}
+		}
+	})
+}
+
+// Messages take seconds and overtake each other.
+func TestLateMessagesChangeNoEstimate(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(82, 30, 16)
+	s.delay = func() time.Duration { return time.Duration(s.random.IntN(3000)) * time.Millisecond }
+	s.rate = func(endpoint, _ int, _ time.Duration) float64 { return []float64{1, 2}[endpoint%2] }
+	s.run(25 * time.Second)
+	for i := range s.endpoints {
+		want := []float64{math.Sqrt2 / 2, math.Sqrt2}[i%2]
+		is.True(within(s.relative(i), 0.75*want, 1.25*want))
+	}
+}
+
+// A report with numbers that no host sends is left out.
+func TestInvalidReportsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	table := speed.New(speed.Config{})
+	for _, bad := range []speed.Report{{Weights: [speed.Bins]float64{math.NaN()}}, {Weights: [speed.Bins]float64{1, -1}}, {Weights: [speed.Bins]float64{1}, Means: [speed.Bins]float64{math.Inf(1)}}} {
+		table.Receive("h", load.ScopeHost, []speed.Report{bad}, 0)
+	}
+	is.Equal(len(table.Others("probe", 0)), 0)
+}
--- a/core/coord/speed/sums.go
+++ b/core/coord/speed/sums.go
@@ -13,8 +13,8 @@
 const quarter = Bins - 1
 
 // span is the time constant with which observations fade. At ten observations a second of
-// each endpoint, an estimate rests on about fifty, and follows a change within seconds.
-const span = 5 * time.Second
+// each endpoint, an estimate rests on about forty, and follows a change within seconds.
+const span = 4 * time.Second
 
 // minWeight is the weight below which observations are dropped.
 const minWeight = 0.02
