--- a/core/coord/place/place.go
+++ b/core/coord/place/place.go
@@ -57,7 +57,7 @@
 	PrefillRate float64
 	Work        load.Work
 	// Speed is the learned speed relative to the other engines of the service; 0 counts as 1.
-	// PrefillRate includes it.
+	// It is used by LeastLoaded; PrefillRate includes it.
 	Speed float64
 	// Comfortable is the learned number of requests up to which the engine keeps its response
 	// times; 0 if it is not below Slots.
--- a/core/coord/place/place_test.go
+++ b/core/coord/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -114,3 +115,42 @@
 		is.Equal(place.LeastLoaded(list, offset, 3), 2)
 	}
 }
+
+// Endpoints are compared by the time that the new request would take, an idle slow one against
+// a fast one in use too.
+func TestLeastLoadedWeighsLearnedCapacity(t *testing.T) {
+	is := is.New(t)
+	for offset := range 2 {
+		list := engines(2)
+		list[0].Speed, list[1].Speed = 0.4, 1.3
+		is.Equal(place.LeastLoaded(list, offset, 2), 1)
+		list[1].Work = load.Work{Running: 2}
+		is.Equal(place.LeastLoaded(list, offset, 2), 1)
+		list[1].Work = load.Work{Running: 8}
+		is.Equal(place.LeastLoaded(list, offset, 2), 0)
+		list = engines(2)
+		list[0].Work, list[1].Work = load.Work{Running: 4}, load.Work{Running: 5}
+		list[0].Comfortable = list[0].Slots / 2
+		is.Equal(place.LeastLoaded(list, offset, 2), 1)
+	}
+}
+
+// Learned estimates that do not differ change nothing.
+func TestEqualSpeedsChangeNoPlacement(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		plain := engines(rapid.IntRange(1, 8).Draw(r, "engines"))
+		for i := range plain {
+			plain[i].Slots = rapid.IntRange(1, 64).Draw(r, "slots")
+			plain[i].Work = load.Work{Running: rapid.IntRange(0, 99).Draw(r, "running")}
+			plain[i].Remote = rapid.Bool().Draw(r, "remote")
+		}
+		learned := slices.Clone(plain)
+		for i := range learned {
+			learned[i].Speed = 1
+		}
+		offset := rapid.IntRange(0, 7).Draw(r, "offset")
+		if place.LeastLoaded(plain, offset, 3) != place.LeastLoaded(learned, offset, 3) {
+			r.Fatal("placement differs")
+		}
+	})
+}
--- a/core/coord/place/query_test.go
+++ b/core/coord/place/query_test.go
@@ -94,3 +94,22 @@
 	is.Equal(c.TokensAhead, 0)
 	is.Equal(c.FirstToken, 60*time.Millisecond)
 }
+
+// The first engine slows down from 9 requests on. The hub learns of it with the query.
+func TestDecideAvoidsCrowdedEngines(t *testing.T) {
+	is := is.New(t)
+	list := engines(2)
+	list[0].Comfortable = 8
+	q := place.NewQuery(place.Prompt{Tokens: 1000, Key: "k"}, list)
+	at := func(running int) int {
+		work := make([]load.Work, 2)
+		for i, c := range q.Candidates {
+			if work[i].Running = running; c.Index == 1 {
+				work[i].Running++ // the other one has a little more to do
+			}
+		}
+		return q.Candidates[place.Decide(q, work).Position].Index
+	}
+	is.Equal(at(7), 0)
+	is.Equal(at(12), 1)
+}
--- a/core/coord/speed/speed.go
+++ b/core/coord/speed/speed.go
@@ -43,7 +43,7 @@
 	trim = 1.4
 	// fullWeightTime is the expected prefill time from which an observation has the weight 1.
 	// The time of a short prompt is mostly noise from queued tokens that are known late.
-	fullWeightTime    = 200 * time.Millisecond
+	fullWeightTime    = 100 * time.Millisecond
 	minObservedWeight = 0.1
 	// initialNoise is the assumed variance of an observation of weight 1, and noiseSmoothing
 	// the weight of one observation in its average.
--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -104,11 +105,19 @@
 	return j.chooseEngine(ctx, list, work)
 }
 
+// tryEqualEvery is how many calls there are for each one that is placed as if all endpoints were
+// equally fast. A slow endpoint would get none at low load, and its recovery would not show.
+const tryEqualEvery = 32
+
 func (j *job) chooseLeastLoaded(list []*site.Endpoint, work map[string]load.Work) choice {
 	engines := make([]place.Engine, len(list))
+	equal := rand.IntN(tryEqualEvery) == 0
 	for i, e := range list {
-		learned := j.r.cfg.Speeds.Estimate(speedKey(e))
-		engines[i] = place.Engine{ID: e.ID, Slots: e.Slots, Work: work[e.ID], Speed: learned.Relative, Comfortable: learned.Comfortable, Remote: e.FailureDomain != j.r.cfg.FailureDomain}
+		engines[i] = place.Engine{ID: e.ID, Slots: e.Slots, Work: work[e.ID], Remote: e.FailureDomain != j.r.cfg.FailureDomain}
+		if !equal {
+			learned := j.r.cfg.Speeds.Estimate(speedKey(e))
+			engines[i].Speed, engines[i].Comfortable = learned.Relative, learned.Comfortable
+		}
 	}
 	at := place.LeastLoaded(engines, int(j.r.roundRobin.Add(1)%uint64(len(list))), j.r.cfg.SampleSize())
 	return choice{endpoint: list[at], inProgress: engines[at].Work.Requests() + 1}
