--- a/core/coord/speed/evaluate.go
+++ b/core/coord/speed/evaluate.go
@@ -23,12 +23,15 @@
 	minDifference  = 0.262
 	minSigmas      = 4
 	maxIndependent = 30
-	// onAfter is how long an endpoint must differ before the estimates of its service are
-	// used. They are no longer used when no endpoint has differed by offDifference, a factor
-	// of 1.15, for offAfter.
-	onAfter       = 2 * time.Second
-	offAfter      = 30 * time.Second
-	offDifference = 0.14
+	// minSpread is the root mean square of the differences of all endpoints from which they
+	// are taken to differ, each by too little to be sure of it.
+	minSpread = 0.2
+	// onAfter is how long endpoints must differ before the estimates of their service are
+	// used. They are no longer used when none has differed by offShare of these sizes for
+	// offAfter.
+	onAfter  = 2 * time.Second
+	offAfter = 30 * time.Second
+	offShare = 0.5
 	// kneeAfter is how long an endpoint must be seen to slow down before its comfortable
 	// number is used.
 	kneeAfter = 3 * time.Second
@@ -68,9 +71,9 @@
 // verdict says whether the estimates of a service are used.
 type verdict struct {
 	on bool
-	// differsSince is when an endpoint began to differ; negative if none does.
+	// differsSince is when endpoints began to differ; negative if they don't.
 	differsSince time.Duration
-	// lastDiffered is when an endpoint last differed by offDifference.
+	// lastDiffered is when endpoints last differed by offShare of the sizes that count.
 	lastDiffered time.Duration
 	evaluated    time.Duration
 	hasEvaluated bool
@@ -215,22 +218,37 @@
 	return best
 }
 
-// judge decides whether the estimates of the service are used. It reports whether that has
-// changed.
-func (s *service) judge(findings []finding, now time.Duration) bool {
-	differs, remains := false, false
+// differ reports whether endpoints differ by more than noise, and by the given share of the
+// sizes that count.
+func differ(findings []finding, share float64) bool {
+	squares, errors, n := 0.0, 0.0, 0.0
 	for _, f := range findings {
 		size := math.Abs(f.difference)
-		differs = differs || f.knee > 0 || size >= max(minDifference, minSigmas*f.deviation)
-		remains = remains || f.knee > 0 || size >= offDifference && f.used >= fewWeight
+		if f.knee > 0 || size >= max(share*minDifference, minSigmas*f.deviation) {
+			return true
+		}
+		if f.used >= fewWeight {
+			squares += size * size
+			errors += size * size / (f.deviation * f.deviation)
+			n++
+		}
 	}
+	// The mean of n squared errors is 1 with a standard deviation of the root of 2/n. It is
+	// doubled for errors that are correlated.
+	return n > 1 && squares/n >= share*share*minSpread*minSpread && errors/n >= 2+minSigmas*math.Sqrt(2/n)
+}
+
+// judge decides whether the estimates of the service are used. It reports whether that has
+// changed.
+func (s *service) judge(findings []finding, now time.Duration) bool {
+	differs := differ(findings, 1)
 	switch {
 	case !differs:
 		s.differsSince = -1
 	case s.differsSince < 0:
 		s.differsSince = now
 	}
-	if remains {
+	if differs || differ(findings, offShare) {
 		s.lastDiffered = now
 	}
 	before := s.on
--- a/core/coord/speed/speed_test.go
+++ b/core/coord/speed/speed_test.go
@@ -215,6 +215,9 @@
 	s.run(25 * time.Second) // until 15 s after the recovery
 	is.True(within(s.relative(7), 0.85, 1.15))
 	is.True(within(s.relative(8), 0.85, 1.15))
+	s.run(40 * time.Second)
+	is.Equal(s.switches, 2)
+	is.Equal(s.relative(8), []float64{1, 1, 1, 1, 1, 1})
 }
 
 // An endpoint of 16 slots takes longer from 9 requests on, out of proportion.
