--- a/core/coord/speed/evaluate.go
+++ b/core/coord/speed/evaluate.go
@@ -105,11 +105,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
-	pooled := make([]*sums, len(endpoints))
+	observed := make([]*sums, len(endpoints))
 	all := &sums{}
 	for i, e := range endpoints {
-		pooled[i] = t.pool(e.Incarnation, now, everyPeer)
-		all.add(pooled[i])
+		observed[i] = t.pooled(now).except("", e.Incarnation, now)
+		all.add(observed[i])
 	}
 	elapsed := time.Duration(0)
 	if s.hasEvaluated {
@@ -125,7 +125,7 @@
 			known = &estimate{reported: Estimate{Relative: 1}, slowsSince: -1}
 			t.known[e.Incarnation] = known
 		}
-		findings[i] = compare(pooled[i], all, s.noise, known.knee)
+		findings[i] = compare(observed[i], all, s.noise, known.knee)
 		known.slots = e.Slots
 		known.mean, known.weight = findings[i].mean, findings[i].weight
 	}
--- a/core/coord/speed/exchange.go
+++ b/core/coord/speed/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -49,17 +50,56 @@
 	weight, value float64
 }
 
-func everyPeer(string, *peer) bool { return true }
+// pooled is the sum of the observations of this host and all peers at a time. A hub reports it
+// to each host of its domain, without what that host has sent.
+type pooled struct {
+	at    time.Duration
+	total map[Incarnation]*sums
+	// parts has what each peer has sent. Later reports replace entries and don't change them.
+	parts map[string]map[Incarnation]*received
+}
+
+// pooledLife is how long a sum is used: a hub with 30 hosts needs it each 30 ms.
+const pooledLife = 400 * time.Millisecond
+
+func (t *Table) pooled(now time.Duration) *pooled {
+	if t.lastPooled != nil && now-t.lastPooled.at < pooledLife {
+		return t.lastPooled
+	}
+	p := &pooled{at: now, total: make(map[Incarnation]*sums), parts: make(map[string]map[Incarnation]*received, len(t.peers))}
+	for name, peer := range t.peers {
+		p.parts[name] = maps.Clone(peer.sums)
+	}
+	for e := range t.observed() {
+		p.total[e] = t.pool(e, now, func(*peer) bool { return true })
+	}
+	t.lastPooled = p
+	return p
+}
+
+// except returns the sum of the observations of an endpoint by all but one peer.
+func (p *pooled) except(name string, e Incarnation, now time.Duration) *sums {
+	out := sums{at: now}
+	if total := p.total[e]; total != nil {
+		out = *total
+		out.decayTo(now)
+	}
+	if part := p.parts[name][e]; part != nil {
+		part.decayTo(now)
+		out.subtract(&part.sums)
+	}
+	return &out
+}
 
 // pool returns the sum of this host's observations of an endpoint and those of some peers.
-func (t *Table) pool(e Incarnation, now time.Duration, include func(name string, p *peer) bool) *sums {
+func (t *Table) pool(e Incarnation, now time.Duration, include func(p *peer) bool) *sums {
 	out := &sums{at: now}
 	if own := t.own[e]; own != nil {
 		own.decayTo(now)
 		out.add(own)
 	}
-	for name, p := range t.peers {
-		if r := p.sums[e]; r != nil && include(name, p) {
+	for _, p := range t.peers {
+		if r := p.sums[e]; r != nil && include(p) {
 			r.decayTo(now)
 			out.add(&r.sums)
 		}
@@ -69,25 +109,33 @@
 
 // Own returns the reports of this host's observations that are due for a receiver.
 func (t *Table) Own(to string, now time.Duration) []Report {
-	return t.reports("host "+to, now, func(string, *peer) bool { return false })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reports("host "+to, now, func(e Incarnation) *sums {
+		return t.pool(e, now, func(*peer) bool { return false })
+	})
 }
 
 // Domain returns the reports of the observations in this host's failure domain that are due
 // for another hub.
 func (t *Table) Domain(to string, now time.Duration) []Report {
-	return t.reports("hub "+to, now, func(_ string, p *peer) bool { return p.scope == load.ScopeHost })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reports("hub "+to, now, func(e Incarnation) *sums {
+		return t.pool(e, now, func(p *peer) bool { return p.scope == load.ScopeHost })
+	})
 }
 
 // Others returns the reports of the observations of all hosts but one, the receiver, if they
 // are due.
 func (t *Table) Others(to string, now time.Duration) []Report {
-	return t.reports("member "+to, now, func(name string, _ *peer) bool { return name != to })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reports("member "+to, now, func(e Incarnation) *sums { return t.pooled(now).except(to, e, now) })
 }
 
 // reports returns the reports for a receiver that changed most since it was sent them.
-func (t *Table) reports(receiver string, now time.Duration, include func(string, *peer) bool) []Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (t *Table) reports(receiver string, now time.Duration, sumOf func(e Incarnation) *sums) []Report {
 	if t.cfg.Disabled {
 		return nil
 	}
@@ -107,15 +155,15 @@
 	}
 	var list []candidate
 	for e := range t.observed() {
-		pooled := t.pool(e, now, include)
-		weight, value := pooled.total()
+		observed := sumOf(e)
+		weight, value := observed.total()
 		last, ok := to.reports[e]
 		if !ok || now-last.at >= resendAfter {
 			last = sentReport{at: now}
 		}
 		f := math.Exp(-float64(now-last.at) / float64(span))
 		if change := math.Abs(weight-f*last.weight) + math.Abs(value-f*last.value); change >= minChange {
-			list = append(list, candidate{Incarnation: e, sums: pooled, change: change})
+			list = append(list, candidate{Incarnation: e, sums: observed, change: change})
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
--- a/core/coord/speed/speed.go
+++ b/core/coord/speed/speed.go
@@ -101,6 +101,8 @@
 	// known has the estimates of the listed endpoints of all services.
 	known map[Incarnation]*estimate
 	sent  map[string]*sentTo
+	// lastPooled is nil before the first use.
+	lastPooled *pooled
 }
 
 // peer has the observations that a peer has sent.
