--- a/core/coord/speed/speed_test.go
+++ b/core/coord/speed/speed_test.go
@@ -292,7 +292,7 @@
 		changed := rapid.Bool().Draw(r, "hubs change")
 		if changed {
 			s.hub = func(domain int) int { return domain + domains }
-			s.run(1500 * time.Millisecond)
+			s.run(2600 * time.Millisecond) // until reports have passed through two new hubs
 		}
 		total := func(reports []speed.Report) float64 {
 			return lo.SumBy(reports, func(r speed.Report) float64 { return lo.Sum(r.Weights[:]) })
