--- a/core/coord/speed/evaluate.go
+++ b/core/coord/speed/evaluate.go
@@ -79,12 +79,12 @@
 	hasEvaluated bool
 }
 
-// Change is a change of an endpoint's estimate by half or more, or of the rule for its service.
+// Change is a change of an endpoint's relative speed by half or more since it was last reported.
 type Change struct {
 	Endpoint string
-	// From and To are the estimates.
 	From, To Estimate
-	Weight   float64
+	// Weight is the weight of the observations.
+	Weight float64
 }
 
 // Summary describes the estimates of a service.
@@ -96,7 +96,9 @@
 	// endpoints with a comfortable number below their slots.
 	Slowest, Fastest float64
 	Limited          int
-	Changes          []Change
+	// Weight is the weight of the observations of all hosts, as far as this host knows them.
+	Weight  float64
+	Changes []Change
 }
 
 // Evaluate computes the estimates for the endpoints of a service again. It is called about
@@ -130,6 +132,7 @@
 		known.mean, known.weight = findings[i].mean, findings[i].weight
 	}
 	out := Summary{Switched: s.judge(findings, now), On: s.on, Slowest: 1, Fastest: 1}
+	out.Weight, _ = all.total()
 	for i, e := range endpoints {
 		known := t.known[e.Incarnation]
 		known.follow(findings[i], s, elapsed, now)
--- a/core/coord/speed/exchange.go
+++ b/core/coord/speed/exchange.go
@@ -127,10 +127,16 @@
 }
 
 // Others returns the reports of the observations of all hosts but one, the receiver, if they
-// are due.
+// are due. A host that has just become the hub returns none until it has heard of other hosts:
+// what the last hub told it includes the observations of the receiver.
 func (t *Table) Others(to string, now time.Duration) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if p.scope == load.ScopeOthers {
+			return nil
+		}
+	}
 	return t.reports("member "+to, now, func(e Incarnation) *sums { return t.pooled(now).except(to, e, now) })
 }
 
@@ -210,6 +216,7 @@
 	for other, p := range t.peers {
 		if (p.scope == load.ScopeOthers) != (scope == load.ScopeOthers) || scope == load.ScopeOthers && other != name {
 			delete(t.peers, other)
+			t.lastPooled = nil
 		}
 	}
 	p := t.peers[name]
--- a/core/coord/speed/speed.go
+++ b/core/coord/speed/speed.go
@@ -203,7 +203,7 @@
 		mean = e.mean
 	}
 	value = max(mean-trim, min(mean+trim, value))
-	s.noise += noiseSmoothing * (weight*(value-mean)*(value-mean) - s.noise)
+	s.noise += max(noiseSmoothing, 1/float64(s.observations)) * (weight*(value-mean)*(value-mean) - s.noise)
 	own := t.own[o.Endpoint.Incarnation]
 	if own == nil {
 		own = &sums{at: now}
--- a/core/coord/speed/sums.go
+++ b/core/coord/speed/sums.go
@@ -76,5 +76,5 @@
 	return min(max(0, inProgress-1)*quarter/max(1, slots), Bins-1)
 }
 
-// lastIn returns the highest number of requests in progress below a range.
+// lastBelow returns the highest number of requests in progress below a range.
 func lastBelow(bin, slots int) int { return (bin*slots + quarter - 1) / quarter }
--- a/router/hosted/learn.go
+++ b/router/hosted/learn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/samber/lo"
@@ -44,18 +45,21 @@
 		on = 1
 	}
 	// The gauges are per service, since there may be hundreds of endpoints.
-	for name, value := range map[string]float64{"used": on, "slowest": sum.Slowest, "fastest": sum.Fastest, "limited": float64(sum.Limited)} {
+	for name, value := range map[string]float64{"used": on, "slowest": sum.Slowest, "fastest": sum.Fastest, "limited": float64(sum.Limited), "weight": sum.Weight} {
 		h.metrics.GetOrCreateGauge(fmt.Sprintf("cicada_speed_%s{service=%q}", name, service), nil).Set(value)
 	}
 	if sum.Switched {
 		h.cfg.Logger.Info("use of learned capacity changed", "service", service, "on", sum.On)
 	}
 	for _, c := range sum.Changes {
-		h.cfg.Logger.Info("learned capacity of endpoint changed", "service", service, "endpoint", c.Endpoint, "from", c.From.Relative, "to", c.To.Relative,
-			"comfortable", c.To.Comfortable, "weight", c.Weight)
+		h.cfg.Logger.Info("learned capacity of endpoint changed", "service", service, "endpoint", c.Endpoint, "from", hundredths(c.From.Relative), "to", hundredths(c.To.Relative),
+			"comfortable", c.To.Comfortable, "weight", hundredths(c.Weight))
 	}
 }
 
+// hundredths rounds a number for logs.
+func hundredths(x float64) float64 { return math.Round(100*x) / 100 }
+
 // isListed reports whether an incarnation of an endpoint is listed.
 func isListed(view *mirror.View, e speed.Incarnation) bool {
 	listed := view.Endpoints[e.Endpoint]
