--- a/core/coord/place/query.go
+++ b/core/coord/place/query.go
@@ -35,6 +35,8 @@
 	// Capacity the size of the engine's KV cache; 0 if it is not known.
 	Memory   int
 	Capacity int
+	// Comfortable is as in Engine.
+	Comfortable int
 }
 
 // Query asks a hub to choose the engine for one request.
@@ -76,7 +78,7 @@
 			cost += remoteHubCost
 		}
 		q.Candidates = append(q.Candidates, Candidate{
-			Index: i, ID: e.ID, PrefillTokens: max(0, p.Tokens-p.reusableTokens(e)), Cost: cost, PrefillRate: e.PrefillRate, Slots: e.Slots, Memory: p.memory(e), Capacity: e.Capacity,
+			Index: i, ID: e.ID, PrefillTokens: max(0, p.Tokens-p.reusableTokens(e)), Cost: cost, PrefillRate: e.PrefillRate, Slots: e.Slots, Memory: p.memory(e), Capacity: e.Capacity, Comfortable: e.Comfortable,
 		})
 	}
 	return q
@@ -111,9 +113,9 @@
 	least := time.Duration(0)
 	mean := meanMemory(len(work), func(i int) *load.Work { return &work[i] }, q.Candidates[0].Memory)
 	for i, c := range q.Candidates {
-		e := Engine{Slots: c.Slots, PrefillRate: c.PrefillRate, Work: work[i], Capacity: c.Capacity}
+		e := Engine{Slots: c.Slots, PrefillRate: c.PrefillRate, Comfortable: c.Comfortable, Work: work[i], Capacity: c.Capacity}
 		wait := Wait(e, q.Rank)
-		if cost := c.Cost + wait + stall(e, q.Rank, c.PrefillTokens) + e.memoryCost(c.Memory, mean); i == 0 || cost < least {
+		if cost := c.Cost + wait + stall(e, q.Rank, c.PrefillTokens) + crowding(e) + e.memoryCost(c.Memory, mean); i == 0 || cost < least {
 			least, best = cost, Decision{Position: i, TokensAhead: work[i].TokensAhead(q.Rank), Wait: wait, Lacking: e.lacking(c.Memory, mean)}
 		}
 	}
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -24,6 +24,7 @@
 	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/coord/reach"
 	"cicadastand.dev/core/coord/room"
+	"cicadastand.dev/core/coord/speed"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
@@ -56,8 +57,10 @@
 	// MetricsPort is the port of the metrics on the host's address; 0 disables them.
 	MetricsPort uint16
 	// Dial opens connections to endpoints; nil for the default.
-	Dial   dialer.Func
-	Logger hclog.Logger
+	Dial dialer.Func
+	// FixedCapacity makes all endpoints of a service count as equally fast.
+	FixedCapacity bool
+	Logger        hclog.Logger
 }
 
 const (
@@ -155,6 +158,7 @@
 	pace       *pace.Table
 	avoid      *avoid.Table
 	room       *room.Table
+	speeds     *speed.Table
 	reach      *reach.Table
 	taint      *taint.Table
 	conns      *conns.Pool
@@ -186,6 +190,7 @@
 		pauses:     pause.New(),
 		avoid:      avoid.New(),
 		room:       room.New(),
+		speeds:     speed.New(speed.Config{Disabled: cfg.FixedCapacity}),
 		metrics:    metrics.NewSet(),
 	}
 	h.pace = pace.New(pace.Config{Counter: h.loads})
@@ -236,6 +241,7 @@
 		Pace:             h.pace,
 		Avoid:            h.avoid,
 		Room:             h.room,
+		Speeds:           h.speeds,
 		Budget:           retryBudget,
 		Poison:           suspects,
 		Taint:            h.taint,
@@ -282,6 +288,7 @@
 		PlacementUpdates: placementUpdates,
 		Pauses:           h.pauses,
 		Room:             h.room,
+		Speeds:           h.speeds,
 		Lease:            h,
 		Serve:            h.relay.ServeForwarded,
 		Tolerance:        quota.Tolerance{Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack},
@@ -443,6 +450,7 @@
 			h.pace.Retain(known)
 			h.room.Retain(known)
 			h.avoid.Retain(known, h.cfg.Clock.Boot())
+			h.speeds.Retain(func(e speed.Incarnation) bool { return isListed(view, e) }, h.cfg.Clock.Boot())
 			h.relay.Prune(known)
 			h.relay.PruneCrashes(known)
 			h.taint.Sweep(h.cfg.Clock.Boot())
--- a/router/relay/choose.go
+++ b/router/relay/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -38,6 +39,8 @@
 	firstToken time.Duration
 	// wait is the part of firstToken until the endpoint starts the prefill.
 	wait time.Duration
+	// inProgress is the number of requests at the endpoint, this one included.
+	inProgress int
 	// waiting is the average number of waiting requests per engine.
 	waiting float64
 	// tokensAhead is the number of queued prompt tokens ahead of this prompt.
@@ -108,13 +111,22 @@
 	return j.chooseEngine(ctx, list, work)
 }
 
+// tryEqualEvery is how many calls there are for each one that is placed as if all endpoints were
+// equally fast. A slow endpoint would get none at low load, and its recovery would not show.
+const tryEqualEvery = 32
+
 func (j *job) chooseLeastLoaded(list []*site.Endpoint, work map[string]load.Work) choice {
 	engines := make([]place.Engine, len(list))
+	equal := rand.IntN(tryEqualEvery) == 0
 	for i, e := range list {
 		engines[i] = place.Engine{ID: e.ID, Slots: e.Slots, Work: work[e.ID], Remote: e.FailureDomain != j.r.cfg.FailureDomain}
+		if !equal {
+			learned := j.r.cfg.Speeds.Estimate(speedKey(e))
+			engines[i].Speed, engines[i].Comfortable = learned.Relative, learned.Comfortable
+		}
 	}
 	at := place.LeastLoaded(engines, int(j.r.roundRobin.Add(1)%uint64(len(list))), j.r.cfg.SampleSize())
-	return choice{endpoint: list[at]}
+	return choice{endpoint: list[at], inProgress: engines[at].Work.Requests() + 1}
 }
 
 // prompt returns the input of the placement.
@@ -153,9 +165,10 @@
 		engines[i] = place.Engine{
 			ID:           e.ID,
 			Slots:        e.Slots,
-			PrefillRate:  j.r.prefill.rate(j.serviceName, e.ID),
+			PrefillRate:  j.r.cfg.Speeds.PrefillRate(j.serviceName, speedKey(e)),
 			Work:         work[e.ID],
 			Capacity:     j.service.Engine.CacheTokens,
+			Comfortable:  j.r.cfg.Speeds.Estimate(speedKey(e)).Comfortable,
 			CachedTokens: j.r.cfg.CacheIndex.CachedTokens(e.ID, loaded[i].version, j.cacheSalt(), j.params.Shared(), since),
 			CanFetch:     loaded[i].valid,
 			OldWeights:   loaded[i].version < newest,
@@ -176,6 +189,7 @@
 		cached:        engines[c.Index].CachedTokens,
 		firstToken:    c.FirstToken,
 		wait:          c.Wait,
+		inProgress:    engines[c.Index].Work.Requests() + 1,
 		waiting:       waiting,
 		tokensAhead:   c.TokensAhead,
 		memory:        c.Memory,
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -23,6 +23,7 @@
 	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/coord/reach"
 	"cicadastand.dev/core/coord/room"
+	"cicadastand.dev/core/coord/speed"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/state/clock"
@@ -105,6 +106,8 @@
 	Pace *pace.Table
 	// Room limits how many requests wait at brittle endpoints.
 	Room *room.Table
+	// Speeds holds the learned capacity of endpoints.
+	Speeds *speed.Table
 	// Avoid holds the endpoints that asked to get no requests for a time.
 	Avoid *avoid.Table
 	// PlacementUpdates sends the other hosts the placements that they would not expect.
@@ -146,7 +149,6 @@
 // Relay is the HTTP handler of clients' requests.
 type Relay struct {
 	cfg     Config
-	prefill *prefillRates
 	prompts *promptLengths
 	weights *reportedWeights
 	crashes *crashes
@@ -180,7 +182,6 @@
 func New(cfg Config) *Relay {
 	r := &Relay{
 		cfg:        cfg,
-		prefill:    newPrefillRates(),
 		prompts:    newPromptLengths(),
 		weights:    newReportedWeights(),
 		line:       line.New(),
--- a/router/share/place.go
+++ b/router/share/place.go
@@ -78,13 +78,14 @@
 		Holds: q.Holds,
 		Candidates: lo.Map(q.Candidates, func(c place.Candidate, _ int) *loadpb.Candidate {
 			return &loadpb.Candidate{
-				Endpoint: c.ID,
-				Tokens:   uint32(c.PrefillTokens),
-				CostUs:   uint32(c.Cost.Microseconds()),
-				Rate:     uint32(c.PrefillRate),
-				Slots:    uint32(c.Slots),
-				Memory:   uint32(c.Memory),
-				Capacity: uint32(c.Capacity),
+				Endpoint:    c.ID,
+				Tokens:      uint32(c.PrefillTokens),
+				CostUs:      uint32(c.Cost.Microseconds()),
+				Rate:        uint32(c.PrefillRate),
+				Slots:       uint32(c.Slots),
+				Memory:      uint32(c.Memory),
+				Capacity:    uint32(c.Capacity),
+				Comfortable: uint32(c.Comfortable),
 			}
 		}),
 	}
@@ -103,6 +104,7 @@
 				Slots:         int(c.GetSlots()),
 				Memory:        int(c.GetMemory()),
 				Capacity:      int(c.GetCapacity()),
+				Comfortable:   int(c.GetComfortable()),
 			}
 		}),
 	}
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -26,6 +26,7 @@
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/coord/room"
+	"cicadastand.dev/core/coord/speed"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
@@ -85,6 +86,7 @@
 	PlacementUpdates *kvmap.Outbox
 	Pauses           *pause.Table
 	Room             *room.Table
+	Speeds           *speed.Table
 	Lease            Lease
 	// Serve serves a request of a client of another host. It returns call.ErrNotForwarded if
 	// the request has not run, because this host can't serve it.
@@ -292,6 +294,7 @@
 	if !s.cfg.Hubs.IsMesh() {
 		if !s.IsHub() {
 			s.cfg.Loads.UpdatePeer(hub, load.ScopeOthers, workFrom(in.GetWork()), demandFrom(in.GetDemand()), now)
+			s.cfg.Speeds.Receive(hub, load.ScopeOthers, speedsFrom(in.GetSpeeds()), now)
 		}
 	}
 	s.receivePauses(in.GetPauses())
@@ -324,6 +327,7 @@
 	} else {
 		s.cfg.Loads.UpdatePeer(name, scope, workFrom(in.GetWork()), demandFrom(in.GetDemand()), now)
 	}
+	s.cfg.Speeds.Receive(name, scope, speedsFrom(in.GetSpeeds()), now)
 	s.mergeSuspects(in.GetSuspects())
 	s.mergeCrashes(in.GetCrashes())
 	s.receiveBrittle(in.GetBrittle())
@@ -375,6 +379,9 @@
 		Placements: lo.Map(s.cfg.PlacementUpdates.Take(in.GetHost(), now), placementMessage),
 	}
 	out.Grants = grantMessages(s.pool.Receive(in.GetHost(), usesFrom(in.GetUses()), now))
+	if !s.cfg.Hubs.IsMesh() {
+		out.Speeds = speedMessages(s.cfg.Speeds.Others(in.GetHost(), now))
+	}
 	s.addReads(out, in, func(feed.ReadMark) bool { return true })
 	return out
 }
@@ -385,6 +392,7 @@
 	out.Work = workMessage(s.cfg.Loads.Own(s.cfg.Clock.Boot()))
 	out.Demand = demandMessage(s.cfg.Loads.Demand(s.cfg.Clock.Boot()))
 	out.Uses = useMessages(s.spender.Uses(s.cfg.Clock.Boot()))
+	out.Speeds = speedMessages(s.cfg.Speeds.Own(to, s.cfg.Clock.Boot()))
 	return out
 }
 
@@ -396,6 +404,7 @@
 	out.Work = workMessage(s.cfg.Loads.DomainTotal(now))
 	out.Demand = demandMessage(s.cfg.Loads.DomainDemand(now))
 	out.Uses = useMessages(s.pool.DomainUses())
+	out.Speeds = speedMessages(s.cfg.Speeds.Domain(to, now))
 	return out
 }
 
