--- a/suite/cluster_test.go
+++ b/suite/cluster_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,10 @@
 	EngineArgs   []string
 	ServiceArgs  []string
 	PlatformArgs []string
+	// RouterProgram is the program and its first arguments that run the routers; empty for
+	// this test binary. RouterEnv is added to its environment.
+	RouterProgram []string
+	RouterEnv     []string
 	// RouterYAML is appended to the routers' settings.
 	RouterYAML string
 	// FleetYAML is appended to the fleet description.
@@ -56,9 +61,12 @@
 type proc struct {
 	name string
 	args []string
-	cmd  *exec.Cmd
-	done chan struct{}
-	err  error
+	// program is the program and its first arguments; empty for this test binary.
+	program []string
+	env     []string
+	cmd     *exec.Cmd
+	done    chan struct{}
+	err     error
 }
 
 // cluster is a complete system of routers, platform, engines and services, each a
@@ -245,7 +253,7 @@
 			return err
 		}
 		list.Hosts = append(list.Hosts, logapi.Host{Name: name, FailureDomain: c.domain(i), Address: c.proxyAddress(name), State: logapi.HostLive})
-		c.procs[name] = &proc{name: name, args: []string{"router", "-settings", c.settingsPath(name)}}
+		c.procs[name] = &proc{name: name, args: []string{"router", "-settings", c.settingsPath(name)}, program: c.opts.RouterProgram, env: c.opts.RouterEnv}
 	}
 	if err := c.control("platform", http.MethodPut, "/control/hosts", list, nil); err != nil {
 		return err
@@ -355,8 +363,12 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(exe, p.args[1:]...)
-	cmd.Env = append(os.Environ(), envProgram+"="+p.args[0])
+	line := append(slices.Clone(p.program), p.args[1:]...)
+	if len(p.program) == 0 {
+		line = append([]string{exe}, p.args[1:]...)
+	}
+	cmd := exec.Command(line[0], line[1:]...)
+	cmd.Env = append(append(os.Environ(), envProgram+"="+p.args[0]), p.env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
