Add a crowd of incomplete messages of legal size at the peers' port

Messages over the limit are refused at their length prefix, so the first crowd does not show what many messages within it take.

--- a/suite/hostile_peer_test.go
+++ b/suite/hostile_peer_test.go
@@ -11,17 +11,28 @@
 )
 
 const (
-	// messageCalls is the number of calls that one client of the port for hosts begins, and
-	// messageSize the announced length of the message of each.
-	messageCalls = 8
-	messageSize  = 60 << 20
+	// longCalls is the number of calls that one client of the port for hosts begins, and
+	// longMessage the announced length of the message of each. manyCalls and shortMessage are
+	// those with messages in which a legal request fits.
+	longCalls    = 8
+	longMessage  = 60 << 20
+	manyCalls    = 16
+	shortMessage = 5 << 20
 	// messagePiece is the size of a data frame.
 	messagePiece = 16 << 10
 )
 
-// sendLongMessages begins calls with long messages at the port for other hosts and never
-// completes them. It sends as the windows of the host allow, until a write fails.
 func sendLongMessages(h *hostUnderTest, conn net.Conn) error {
+	return sendMessages(h, conn, longCalls, longMessage)
+}
+
+func sendManyMessages(h *hostUnderTest, conn net.Conn) error {
+	return sendMessages(h, conn, manyCalls, shortMessage)
+}
+
+// sendMessages begins calls at the port for other hosts and sends their messages, but the last
+// pieces. It sends as the windows of the host allow, until a write fails.
+func sendMessages(h *hostUnderTest, conn net.Conn, calls, size int) error {
 	if _, err := io.WriteString(conn, http2.ClientPreface); err != nil {
 		return err
 	}
@@ -29,7 +40,7 @@
 	if err := framer.WriteSettings(); err != nil {
 		return err
 	}
-	for call := range messageCalls {
+	for call := range calls {
 		var head bytes.Buffer
 		enc := hpack.NewEncoder(&head)
 		for _, f := range [][2]string{
@@ -44,7 +55,7 @@
 			return err
 		}
 	}
-	return newMessageSender(framer).run()
+	return newMessageSender(framer, calls, size).run()
 }
 
 func streamID(call int) uint32 { return uint32(2*call + 1) }
@@ -55,14 +66,16 @@
 	// connWindow and windows are the bytes that may be sent on the connection and in each call.
 	connWindow int
 	windows    map[uint32]int
-	begun      map[uint32]bool
+	// left is what is left of each message, and size its announced length.
+	left map[uint32]int
+	size int
 }
 
-func newMessageSender(framer *http2.Framer) *messageSender {
+func newMessageSender(framer *http2.Framer, calls, size int) *messageSender {
 	const defaultWindow = 65535
-	s := &messageSender{framer: framer, connWindow: defaultWindow, windows: make(map[uint32]int), begun: make(map[uint32]bool)}
-	for call := range messageCalls {
-		s.windows[streamID(call)] = defaultWindow
+	s := &messageSender{framer: framer, connWindow: defaultWindow, windows: make(map[uint32]int), left: make(map[uint32]int), size: size}
+	for call := range calls {
+		s.windows[streamID(call)], s.left[streamID(call)] = defaultWindow, size
 	}
 	return s
 }
@@ -88,14 +101,14 @@
 }
 
 func (s *messageSender) sendPiece(id uint32) (bool, error) {
-	if s.windows[id] < messagePiece || s.connWindow < messagePiece {
+	if s.windows[id] < messagePiece || s.connWindow < messagePiece || s.left[id] <= messagePiece {
 		return false, nil
 	}
 	piece := make([]byte, messagePiece)
-	if !s.begun[id] {
-		s.begun[id] = true
-		binary.BigEndian.PutUint32(piece[1:], messageSize) // the length prefix of a message
+	if s.left[id] == s.size {
+		binary.BigEndian.PutUint32(piece[1:], uint32(s.size)) // the length prefix of a message
 	}
+	s.left[id] -= messagePiece
 	s.windows[id] -= messagePiece
 	s.connWindow -= messagePiece
 	return true, s.framer.WriteData(id, false, piece)
--- a/suite/hostile_test.go
+++ b/suite/hostile_test.go
@@ -100,6 +100,7 @@
 	// The ports for other hosts and operators take descriptors and memory of the same process.
 	{name: "silent-peers", clients: manyConns, port: func(h *hostUnderTest) string { return h.peers }, send: func(*hostUnderTest, net.Conn) error { return nil }},
 	{name: "long-peer-messages", clients: 4, port: func(h *hostUnderTest) string { return h.peers }, send: sendLongMessages},
+	{name: "many-peer-messages", clients: 8, port: func(h *hostUnderTest) string { return h.peers }, send: sendManyMessages},
 	{name: "silent-operators", clients: manyConns, port: func(h *hostUnderTest) string { return h.others }, send: func(*hostUnderTest, net.Conn) error { return nil }},
 	{name: "operators-short-header-lines", clients: 450, port: func(h *hostUnderTest) string { return h.others }, send: func(_ *hostUnderTest, conn net.Conn) error {
 		return sendAll(conn, fillHead("POST /v1/changes HTTP/1.1\r\nHost: h\r\n", func(i int) string { return fmt.Sprintf("%s:\r\n", lineName(i)) }))
