--- /dev/null
+++ b/core/coord/hold/hold.go
@@ -0,0 +1,515 @@
+// Package hold accounts for the memory and the connections that clients make a host hold.
+//
+// The load pattern: clients that nobody controls open many connections at once and send heads
+// of very many lines, or large bodies that stop short of their end, and leave them open. What
+// each of them sends is legal. Charged only once it is complete, it takes more than the memory
+// or the descriptors of the host. So every holder is charged as its bytes arrive. When there is
+// no room, the holder that has made no progress for a time and holds the most gives way. A
+// request that is complete and being served is never ended for another one.
+package hold
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind is what bytes are held for.
+type Kind int
+
+// The kinds.
+const (
+	Conns Kind = iota
+	Heads
+	Requests
+	Bodies
+	Responses
+	kinds
+)
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{Conns, Heads, Requests, Bodies, Responses} }
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	return [...]string{"conns", "heads", "requests", "bodies", "responses"}[k]
+}
+
+// Phase is the state of a connection.
+type Phase int
+
+// The phases of a connection: nothing was received, a head or a body is incomplete, a complete
+// request is being served, or the connection waits for the next request.
+const (
+	Silent Phase = iota
+	Head
+	Body
+	Served
+	Idle
+)
+
+// String returns the name of the phase.
+func (p Phase) String() string {
+	return [...]string{"silent", "head", "body", "served", "idle"}[p]
+}
+
+// Reason is why a holder is ended.
+type Reason string
+
+// The reasons.
+const (
+	// Stalled holders made no progress while others needed their memory or connection.
+	Stalled Reason = "stalled"
+	// Slow holders sent less than the least rate of a body.
+	Slow Reason = "slow"
+	// NoRoom holders asked for memory that is not there.
+	NoRoom Reason = "no-room"
+	// NoConn holders are connections above a bound.
+	NoConn Reason = "no-conn"
+	// Unread holders did not take what was written to them.
+	Unread Reason = "unread"
+)
+
+const (
+	// ConnBytes is what a connection takes: two goroutine stacks, buffers and state.
+	ConnBytes = 16 << 10
+	// RequestBytes is what a request takes besides its head and its bodies: the buffers of a
+	// connection to an endpoint, of a stream, and goroutine stacks.
+	RequestBytes = 32 << 10
+	// LineBytes is what a header line takes besides its bytes: entries of the maps of the
+	// client's and the endpoint's request and their strings. A map entry of a short line was
+	// measured at 100 bytes.
+	LineBytes = 160
+	// HeadFactor counts the copy of a head that is sent to an endpoint.
+	HeadFactor = 2
+
+	// smallHolder is the size up to which a holder may use the reserve, and reserveShare the
+	// part of the memory that is reserved: ordinary bodies have up to 72 KB, and must find
+	// room beside large ones.
+	smallHolder  = 128 << 10
+	reserveShare = 0.2
+
+	// stallTime is how long a holder may make no progress while others need room: longer than
+	// the pauses of a second that honest clients make.
+	stallTime = 2 * time.Second
+	// silentTime is that of a connection on which nothing was received, whose client has
+	// sent no part of a request.
+	silentTime = time.Second
+	// idleTime is that of a connection between requests. Clients reuse those that were idle
+	// for up to 12 s.
+	idleTime = 15 * time.Second
+
+	// bodyPause is how long a body may bring no byte, and minBodyRate the least number of
+	// bytes per second on average after bodyGrace, whether or not others need room.
+	bodyPause   = 10 * time.Second
+	bodyGrace   = 10 * time.Second
+	minBodyRate = 1 << 10
+
+	// sweepGap is the time between two sweeps from which on this process counts as suspended:
+	// what clients sent meanwhile has not been read.
+	sweepGap = 3 * time.Second
+)
+
+// Config holds the bounds of an Account.
+type Config struct {
+	// Bytes is the memory for all holders.
+	Bytes int64
+	// MaxConns is the largest number of connections of each port.
+	MaxConns map[string]int
+	// MaxSpareConns is the largest number of connections to endpoints that are not in use.
+	MaxSpareConns int
+	// MaxConnsPerAddress bounds the connections of one client address; 0 for no bound.
+	MaxConnsPerAddress int
+}
+
+// Account holds what all clients take. It is safe for concurrent use.
+//
+// Lock order: Account.mu is a leaf.
+type Account struct {
+	cfg Config
+
+	mu      sync.Mutex
+	holders map[*Holder]struct{}
+	conns   map[string]int
+	byAddr  map[string]int
+	held    [kinds]int64
+	total   int64
+	opened  uint64
+	swept   time.Duration
+}
+
+// Holder is a connection, or a request that another host forwarded.
+type Holder struct {
+	port    string
+	address string
+	number  uint64
+	evict   func(Reason)
+
+	phase Phase
+	// since is when the phase began, progress when the last byte was received in it, and
+	// received their number.
+	since    time.Duration
+	progress time.Duration
+	received int64
+	bytes    [kinds]int64
+	total    int64
+	// waiting is set while the holder waits for memory, so that its client can't proceed.
+	waiting bool
+	ended   bool
+}
+
+// New returns an empty Account.
+func New(cfg Config) *Account {
+	return &Account{cfg: cfg, holders: make(map[*Holder]struct{}), conns: make(map[string]int), byAddr: make(map[string]int)}
+}
+
+// Victim is a holder that has to be ended.
+type Victim struct {
+	Holder *Holder
+	Reason Reason
+	Phase  Phase
+	Port   string
+	Bytes  int64
+	// Pause is the time since the holder's last progress.
+	Pause time.Duration
+}
+
+// Evict ends the holder.
+func (v Victim) Evict() { v.Holder.evict(v.Reason) }
+
+// OpenConn adds a connection of a client address to a port. If the port has no connection
+// left, it returns the victim that gives way; without one the new connection is refused.
+func (a *Account) OpenConn(port, address string, now time.Duration, evict func(Reason)) (h *Holder, victims []Victim, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if per := a.cfg.MaxConnsPerAddress; per > 0 && a.byAddr[port+" "+address] >= per {
+		return nil, nil, false
+	}
+	if a.conns[port] >= a.cfg.MaxConns[port] {
+		v, found := a.stalledConn(port, now)
+		if !found {
+			return nil, nil, false
+		}
+		v.Holder.ended = true
+		victims = append(victims, v)
+	}
+	h = a.add(now, evict)
+	h.port, h.address = port, address
+	a.conns[port]++
+	a.byAddr[port+" "+address]++
+	a.charge(h, Conns, ConnBytes)
+	return h, victims, true
+}
+
+// Open adds a holder that has no connection of its own and is complete.
+func (a *Account) Open(now time.Duration) *Holder {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := a.add(now, func(Reason) {})
+	h.phase = Served
+	return h
+}
+
+func (a *Account) add(now time.Duration, evict func(Reason)) *Holder {
+	a.opened++
+	h := &Holder{number: a.opened, evict: evict, since: now, progress: now}
+	a.holders[h] = struct{}{}
+	return h
+}
+
+// Close removes a holder and all that it holds.
+func (a *Account) Close(h *Holder) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.holders[h]; !ok {
+		return
+	}
+	delete(a.holders, h)
+	if h.port != "" {
+		a.conns[h.port]--
+		key := h.port + " " + h.address
+		if a.byAddr[key]--; a.byAddr[key] == 0 {
+			delete(a.byAddr, key)
+		}
+	}
+	for k, n := range h.bytes {
+		a.held[k] -= n
+	}
+	a.total -= h.total
+	h.bytes, h.total = [kinds]int64{}, 0
+}
+
+// Take adds n bytes to what a holder holds. If there is no room it adds none, and returns the
+// victims that have to give way, if there are any.
+func (a *Account) Take(h *Holder, k Kind, n int64, now time.Duration) (ok bool, victims []Victim) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, open := a.holders[h]; !open {
+		return false, nil
+	}
+	limit := a.cfg.Bytes
+	if h.total+n > smallHolder {
+		limit -= int64(reserveShare * float64(limit))
+	}
+	if a.total+n <= limit {
+		h.waiting = false
+		a.charge(h, k, n)
+		return true, nil
+	}
+	return false, a.stalledHolders(h, a.total+n-limit, now)
+}
+
+// Give returns n bytes.
+func (a *Account) Give(h *Holder, k Kind, n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.holders[h]; ok {
+		a.charge(h, k, -n)
+	}
+}
+
+// GiveAll returns all that is held of a kind.
+func (a *Account) GiveAll(h *Holder, k Kind) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.charge(h, k, -h.bytes[k])
+}
+
+func (a *Account) charge(h *Holder, k Kind, n int64) {
+	h.bytes[k] += n
+	h.total += n
+	a.held[k] += n
+	a.total += n
+}
+
+// SetPhase begins a phase of a connection.
+func (a *Account) SetPhase(h *Holder, p Phase, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.phase, h.since, h.progress, h.received, h.waiting = p, now, now, 0, false
+}
+
+// SetServed records that the request of a connection is complete. It reports false if the
+// holder was ended before: then the request must not run.
+func (a *Account) SetServed(h *Holder, now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.ended {
+		return false
+	}
+	h.phase, h.since, h.progress, h.received, h.waiting = Served, now, now, 0, false
+	return true
+}
+
+// PhaseOf returns the phase of a connection.
+func (a *Account) PhaseOf(h *Holder) Phase {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return h.phase
+}
+
+// Received records that n bytes were received. The first ones after silence or idle time begin
+// a head.
+func (a *Account) Received(h *Holder, n int, now time.Duration) Phase {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.phase == Silent || h.phase == Idle {
+		h.phase, h.since, h.received = Head, now, 0
+	}
+	h.progress = now
+	h.received += int64(n)
+	return h.phase
+}
+
+// Wait records that a holder waits for memory, and reports whether it is the newest of several
+// that do. All that wait are incomplete, so if they hold the whole memory, none can proceed.
+// The newest gives up first, so that the oldest is completed.
+func (a *Account) Wait(h *Holder) (newest bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.waiting = true
+	others := 0
+	for other := range a.holders {
+		if !other.waiting || other == h {
+			continue
+		}
+		if other.number > h.number {
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
+
+// EndWait records that a holder no longer waits for memory.
+func (a *Account) EndWait(h *Holder, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.waiting = false
+	h.progress = now
+}
+
+// Sweep returns the holders whose bodies arrive too slowly.
+func (a *Account) Sweep(now time.Duration) []Victim {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	gap := now - a.swept
+	suspended := a.swept > 0 && gap > sweepGap
+	a.swept = now
+	var out []Victim
+	for h := range a.holders {
+		if suspended {
+			h.since += gap
+			h.progress += gap
+		}
+		if h.phase != Body || h.ended {
+			continue
+		}
+		if h.waiting {
+			// The client is not read meanwhile.
+			h.since += gap
+			h.progress = now
+			continue
+		}
+		age := now - h.since
+		if now-h.progress > bodyPause || age > bodyGrace && float64(h.received) < minBodyRate*(age-bodyGrace).Seconds() {
+			h.ended = true
+			out = append(out, h.victim(Slow, now))
+		}
+	}
+	return out
+}
+
+// Held returns the bytes that are held of a kind.
+func (a *Account) Held(k Kind) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held[k]
+}
+
+// OpenConns returns the number of connections of a port.
+func (a *Account) OpenConns(port string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conns[port]
+}
+
+func (h *Holder) victim(r Reason, now time.Duration) Victim {
+	return Victim{Holder: h, Reason: r, Phase: h.phase, Port: h.port, Bytes: h.total, Pause: now - h.progress}
+}
+
+// pauseLimit returns how long the holder may pause while others need room, and false if it
+// never gives way.
+func (h *Holder) pauseLimit() (time.Duration, bool) {
+	switch {
+	case h.ended || h.waiting || h.port == "" || h.phase == Served:
+		return 0, false
+	case h.phase == Silent:
+		return silentTime, true
+	case h.phase == Idle:
+		return idleTime, true
+	default:
+		return stallTime, true
+	}
+}
+
+// stalledConn returns the connection of a port with the longest time beyond its limit.
+func (a *Account) stalledConn(port string, now time.Duration) (Victim, bool) {
+	var found *Holder
+	var most time.Duration
+	for h := range a.holders {
+		limit, ok := h.pauseLimit()
+		if over := now - h.progress - limit; ok && h.port == port && over >= 0 && (found == nil || over > most) {
+			found, most = h, over
+		}
+	}
+	if found == nil {
+		return Victim{}, false
+	}
+	return found.victim(Stalled, now), true
+}
+
+// stalledHolders returns the largest holders, other than one, that made no progress, until they
+// hold n bytes together. Of equal ones the oldest comes first.
+func (a *Account) stalledHolders(except *Holder, n int64, now time.Duration) []Victim {
+	var stalled []*Holder
+	for h := range a.holders {
+		limit, ok := h.pauseLimit()
+		if ok && h != except && h.phase != Idle && h.phase != Silent && now-h.progress >= limit {
+			stalled = append(stalled, h)
+		}
+	}
+	slices.SortFunc(stalled, func(x, y *Holder) int {
+		if x.total != y.total {
+			return int(y.total - x.total)
+		}
+		return int(x.number) - int(y.number)
+	})
+	var out []Victim
+	for _, h := range stalled {
+		if n <= 0 {
+			break
+		}
+		h.ended = true
+		n -= h.total
+		out = append(out, h.victim(Stalled, now))
+	}
+	return out
+}
+
+const (
+	// clientShare is the part of a host's memory for clients. Go's soft limit is 0.6 of the
+	// memory, which also covers the program's own state and garbage that is not collected.
+	clientShare = 0.3
+	// messageShare is the part of it for incomplete messages of other hosts.
+	messageShare = 0.08
+	// keptFiles is the number of descriptors that are kept for files.
+	keptFiles = 200
+	// The ports' shares of the descriptors, without those for files. A request also needs a
+	// connection to an endpoint, so what is left must be as much as that of the callers.
+	callerFiles = 0.35
+	peerFiles   = 0.1
+	otherFiles  = 0.03
+	// spareFiles is the share of connections to endpoints that are not in use.
+	spareFiles = 0.1
+	// The ports' shares of the memory, by ConnBytes, and the least bounds: each host of a
+	// failure domain, probes and metrics must find a connection.
+	callerMemory = 0.1
+	peerMemory   = 0.03
+	otherMemory  = 0.01
+	minCallers   = 32
+	minPeers     = 32
+	minOthers    = 16
+)
+
+// The names of the ports.
+const (
+	Callers   = "callers"
+	Peers     = "peers"
+	Operators = "operators"
+	Readiness = "readiness"
+	Metrics   = "metrics"
+)
+
+// ConfigFor returns the bounds for a host with an amount of memory and a limit of descriptors.
+func ConfigFor(memory int64, files int) Config {
+	left := float64(max(files-keptFiles, files/2))
+	bound := func(ofFiles, ofMemory float64, least int) int {
+		return max(least, int(min(ofFiles*left, ofMemory*float64(memory)/ConnBytes)))
+	}
+	others := bound(otherFiles, otherMemory, minOthers)
+	return Config{
+		Bytes:         int64(clientShare * float64(memory)),
+		MaxSpareConns: int(spareFiles * left),
+		MaxConns: map[string]int{
+			Callers:   bound(callerFiles, callerMemory, minCallers),
+			Peers:     bound(peerFiles, peerMemory, minPeers),
+			Operators: others,
+			Readiness: others,
+			Metrics:   others,
+		},
+	}
+}
+
+// MessageBytes returns the memory for incomplete messages of other hosts.
+func MessageBytes(memory int64) int64 { return int64(messageShare * float64(memory)) }
--- a/core/trans/httpd/httpd.go
+++ b/core/trans/httpd/httpd.go
@@ -18,6 +18,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/state/clock"
 )
 
@@ -33,6 +34,13 @@
 	MaxHeaderBytes int
 	// ReadTimeout limits the time to read a whole request.
 	ReadTimeout time.Duration
+	// WriteTimeout is how long a client may take no byte of what is written to it; 0 for no
+	// limit.
+	WriteTimeout time.Duration
+	// Guard bounds what clients take, and Port is the name of the port there. With a Guard,
+	// ReadTimeout limits only the time to read a head: bodies must make progress.
+	Guard *Guard
+	Port  string
 	// IdleTimeout is how long an idle connection stays open.
 	IdleTimeout time.Duration
 }
@@ -65,7 +73,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Address, err)
 	}
-	s := &Server{cfg: cfg, listener: &listener{TCPListener: tcp.(*net.TCPListener), clock: cfg.Clock}, done: make(chan struct{}), unused: make(map[net.Conn]struct{})}
+	l := &listener{TCPListener: tcp.(*net.TCPListener), clock: cfg.Clock, guard: cfg.Guard, port: cfg.Port, writeTimeout: cfg.WriteTimeout}
+	s := &Server{cfg: cfg, listener: l, done: make(chan struct{}), unused: make(map[net.Conn]struct{})}
 	s.http = &http.Server{
 		Handler:           cfg.Handler,
 		MaxHeaderBytes:    orDefault(cfg.MaxHeaderBytes, DefaultMaxHeaderBytes),
@@ -75,6 +84,11 @@
 		ErrorLog:          cfg.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	s.http.ConnState = s.trackConn
+	if cfg.Guard != nil {
+		s.http.Handler = cfg.Guard.wrapHandler(cfg.Handler)
+		s.http.ConnContext = connContext
+		s.http.ReadTimeout = 0
+	}
 	go s.run()
 	return s, nil
 }
@@ -90,6 +104,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.unused, conn)
+	if c := guarded(conn); c != nil && state == http.StateIdle {
+		c.guard.account.SetPhase(c.holder, hold.Idle, c.guard.cfg.Clock.Boot())
+	}
 	switch state {
 	case http.StateNew:
 		s.openConns.Add(1)
--- a/core/trans/httpd/listener.go
+++ b/core/trans/httpd/listener.go
@@ -1,10 +1,13 @@
 package httpd
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/state/clock"
 )
 
@@ -35,17 +39,27 @@
 	*net.TCPListener
 	clock    clock.Service
 	stopping atomic.Bool
+	// guard is nil if connections are not bounded. port is the name of the port there.
+	guard        *Guard
+	port         string
+	writeTimeout time.Duration
 	// closing counts the connections that are being closed.
 	closing sync.WaitGroup
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		sc := &serverConn{TCPConn: c, l: l, guard: l.guard, port: l.port}
+		if l.guard == nil || sc.register() {
+			return sc, nil
+		}
+		_ = c.Close()
 	}
-	return &serverConn{TCPConn: c, l: l}, nil
 }
 
 // drain waits until the established connections are accepted. A connection that is
@@ -88,8 +102,50 @@
 	*net.TCPConn
 	l      *listener
 	closed atomic.Bool
+
+	guard   *Guard
+	port    string
+	holder  *hold.Holder
+	evicted atomic.Pointer[hold.Reason]
+}
+
+// bufferBytes is the size of the kernel's buffers of a connection. They count towards the
+// memory of the host and would otherwise grow to several MB each.
+const bufferBytes = 64 << 10
+
+// register adds the connection to the account of the guard. It reports false if there is no
+// room for it.
+func (c *serverConn) register() bool {
+	g := c.guard
+	address, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	holder, victims, ok := g.account.OpenConn(c.port, address, g.cfg.Clock.Boot(), c.evict)
+	g.end(victims)
+	if !ok {
+		g.record(hold.NoConn, c.port, "client", address)
+		return false
+	}
+	c.holder = holder
+	for _, set := range []func(int) error{c.SetReadBuffer, c.SetWriteBuffer} {
+		if err := set(bufferBytes); err != nil {
+			g.cfg.Logger.Debug("failed to set the buffer size of a connection", "error", err)
+		}
+	}
+	return true
 }
 
+// evict ends the connection. A request whose body is being read gets a response first.
+func (c *serverConn) evict(r hold.Reason) {
+	c.evicted.Store(&r)
+	if c.guard.account.PhaseOf(c.holder) == hold.Body {
+		if err := c.SetReadDeadline(time.Unix(1, 0)); err == nil {
+			return
+		}
+	}
+	_ = c.Close()
+}
+
+var errEvicted = errors.New("the connection was ended")
+
 // Read implements net.Conn. After Close it returns no data, so that no request is served
 // whose response could not be sent.
 func (c *serverConn) Read(to []byte) (int, error) {
@@ -97,14 +153,85 @@
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
+	if c.guard == nil || n == 0 {
+		return n, err
+	}
+	g := c.guard
+	if g.account.Received(c.holder, n, g.cfg.Clock.Boot()) != hold.Head {
+		return n, err
+	}
+	cost := int64(hold.HeadFactor*n + hold.LineBytes*bytes.Count(to[:n], []byte{'\n'}))
+	ok, victims := g.account.Take(c.holder, hold.Heads, cost, g.cfg.Clock.Boot())
+	g.end(victims)
+	if !ok {
+		g.record(hold.NoRoom, c.port, "kind", hold.Heads.String(), "bytes", cost)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errEvicted}
+	}
 	return n, err
 }
 
+// Write implements net.Conn. It fails if the client takes no byte within the write timeout. A
+// client that reads slowly is served to the end.
+func (c *serverConn) Write(from []byte) (int, error) {
+	if c.l == nil || c.l.writeTimeout <= 0 {
+		return c.TCPConn.Write(from)
+	}
+	written, unsent := 0, c.unsent()
+	for {
+		if err := c.SetWriteDeadline(c.l.clock.Now().Add(c.l.writeTimeout)); err != nil {
+			return written, fmt.Errorf("set write deadline: %w", err)
+		}
+		n, err := c.TCPConn.Write(from[written:])
+		written += n
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		left := c.unsent()
+		if n == 0 && left >= unsent {
+			if c.guard != nil {
+				c.guard.record(hold.Unread, c.port, "client", c.RemoteAddr().String())
+			}
+			return written, err
+		}
+		unsent = left
+	}
+}
+
+// unsent returns the number of bytes that were written and that the client has not taken.
+func (c *serverConn) unsent() int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			n = queued
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// ReadFrom implements io.ReaderFrom. Its data passes Write, which checks the progress.
+func (c *serverConn) ReadFrom(src io.Reader) (int64, error) {
+	n, err := io.Copy(struct{ io.Writer }{c}, src)
+	if err != nil {
+		return n, fmt.Errorf("copy to client: %w", err)
+	}
+	return n, nil
+}
+
 // Close implements net.Conn.
 func (c *serverConn) Close() error {
 	if c.closed.Swap(true) {
 		return nil
 	}
+	if c.holder != nil {
+		c.guard.account.Close(c.holder)
+	}
 	// A read deadline in the past makes a blocked Read return.
 	if !c.l.stopping.Load() || c.CloseWrite() != nil || c.SetReadDeadline(time.Unix(1, 0)) != nil {
 		return c.TCPConn.Close()
--- a/router/conns/conns.go
+++ b/router/conns/conns.go
@@ -73,6 +73,8 @@
 	OnceIdleTimeout time.Duration
 	// MaxIdle limits the idle connections per target.
 	MaxIdle int
+	// MaxIdleTotal limits those of all targets; 0 for no limit.
+	MaxIdleTotal int
 }
 
 // Target is the endpoint incarnation that a request is sent to. A connection belongs
@@ -99,11 +101,13 @@
 //
 // Lock order: Pool.mu is a leaf.
 type Pool struct {
-	cfg    Config
-	mu     sync.Mutex
-	idle   map[Target][]*clientConn
-	opened atomic.Int64
-	reused atomic.Int64
+	cfg  Config
+	mu   sync.Mutex
+	idle map[Target][]*clientConn
+	// idleTotal is the number of connections in idle.
+	idleTotal int
+	opened    atomic.Int64
+	reused    atomic.Int64
 }
 
 // New returns an empty Pool.
@@ -167,7 +171,7 @@
 		}
 		return nil, err
 	}
-	if n, err := cc.conn.Write(encode(req)); err != nil {
+	if n, err := cc.send(req); err != nil {
 		if n == 0 {
 			return fail(&ErrUnsent{Err: err})
 		}
@@ -180,9 +184,21 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, pool: p, cc: cc, resp: resp, stopCancel: stopCancel}, nil
 }
 
-func encode(req Request) []byte {
+// send writes a request. The body is not copied, since it may be large.
+func (c *clientConn) send(req Request) (int64, error) {
+	parts := net.Buffers{encodeHead(req)}
+	if len(req.Body) > 0 {
+		parts = append(parts, req.Body)
+	}
+	return parts.WriteTo(c.conn)
+}
+
+// headSize is the usual size of a head.
+const headSize = 1 << 10
+
+func encodeHead(req Request) []byte {
 	var b bytes.Buffer
-	b.Grow(len(req.Body) + 1024)
+	b.Grow(headSize)
 	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
@@ -190,7 +206,6 @@
 	// Writes to a bytes.Buffer can't fail.
 	_ = req.Header.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
 
@@ -325,11 +340,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[cc.target]
-	if len(list) >= p.cfg.MaxIdle {
+	if len(list) >= p.cfg.MaxIdle || p.cfg.MaxIdleTotal > 0 && p.idleTotal >= p.cfg.MaxIdleTotal {
 		_ = cc.conn.Close()
 		return
 	}
 	p.idle[cc.target] = append(list, cc)
+	p.idleTotal++
 }
 
 // acquire returns an idle connection that can be reused, or opens a new one.
@@ -357,6 +373,7 @@
 	}
 	cc := list[len(list)-1]
 	p.idle[to] = list[:len(list)-1]
+	p.idleTotal--
 	return cc
 }
 
@@ -410,6 +427,7 @@
 				continue
 			}
 			_ = cc.conn.Close()
+			p.idleTotal--
 		}
 		if len(rest) == 0 {
 			delete(p.idle, to)
--- a/router/front/complete.go
+++ b/router/front/complete.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -40,9 +39,9 @@
 }
 
 func (s *Server) readJob(x *exchange, kind openai.Kind) (*send.Job, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.cfg.MaxBodyBytes))
+	body, err := x.readBody(s.cfg.MaxBodyBytes, parsedCopies)
 	if err != nil {
-		return nil, bodyReadError(err)
+		return nil, err
 	}
 	req, err := openai.Parse(kind, body)
 	if err != nil {
@@ -98,7 +97,7 @@
 	defer cancel()
 	var out sink
 	if job.Request.Stream {
-		out = newStreamSink(x, s.cfg.Clock, s.cfg.WriteTimeout)
+		out = newStreamSink(x)
 	} else {
 		out = &bufferedSink{collector: openai.NewCollector(job.Request.Kind)}
 	}
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cicadastand.dev/core/coord/admit"
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/coord/limit"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/proto/openai"
@@ -22,6 +23,7 @@
 	"cicadastand.dev/core/state/conf"
 	"cicadastand.dev/core/state/fleet"
 	"cicadastand.dev/core/state/usage"
+	"cicadastand.dev/core/trans/httpd"
 	"cicadastand.dev/router/invoke"
 	"cicadastand.dev/router/send"
 )
@@ -66,8 +68,6 @@
 	Poison       *poison.Table
 	Usage        *usage.Counters
 	MaxBodyBytes int64
-	// WriteTimeout bounds each write to a caller that reads slowly.
-	WriteTimeout time.Duration
 	Logger       hclog.Logger
 	Metrics      *metrics.Set
 }
@@ -261,11 +261,39 @@
 	return nil
 }
 
+// parsedCopies is the number of copies of the body of a completion besides what was received:
+// its decoded texts, and the request that is sent to engines.
+const parsedCopies = 2
+
+// readBody reads the request body and charges it, and copies that are made of it later.
+func (x *exchange) readBody(limit, copies int64) ([]byte, error) {
+	ctx := x.r.Context()
+	lease := httpd.LeaseOf(ctx)
+	body, err := lease.ReadBody(ctx, x.w, x.r.Body, x.r.ContentLength, limit)
+	if err == nil && copies > 0 {
+		err = lease.Take(ctx, hold.Bodies, copies*int64(len(body)))
+	}
+	if err != nil {
+		return nil, x.bodyReadError(err)
+	}
+	return body, nil
+}
+
 // bodyReadError maps a failure to read the request body to an error of the API.
-func bodyReadError(err error) error {
+func (x *exchange) bodyReadError(err error) error {
 	var big *http.MaxBytesError
-	if errors.As(err, &big) {
+	switch {
+	case errors.As(err, &big):
 		return openai.NewError(http.StatusRequestEntityTooLarge, openai.CodeTooLarge, "the body may have at most %d bytes", big.Limit)
+	case errors.Is(err, httpd.ErrNoRoom):
+		x.w.Header().Set("Connection", "close")
+		e := openai.NewError(http.StatusServiceUnavailable, openai.CodeUnavailable, "%v", err)
+		e.RetryAfter = time.Second
+		return e
+	case errors.Is(err, httpd.ErrStalled):
+		x.w.Header().Set("Connection", "close")
+		return openai.NewError(http.StatusRequestTimeout, openai.CodeUnavailable, "%v", err)
+	default:
+		return openai.NewError(http.StatusBadRequest, openai.CodeBadField, "the body can't be read: %v", err)
 	}
-	return openai.NewError(http.StatusBadRequest, openai.CodeBadField, "the body can't be read: %v", err)
 }
--- a/router/front/service.go
+++ b/router/front/service.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"io"
 	"net/http"
 	"strings"
 
@@ -26,9 +25,9 @@
 	if !ok || !x.contract.AllowsService(name) {
 		return openai.NewError(http.StatusNotFound, openai.CodeNotFound, "the contract names no service %q", name)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.cfg.MaxBodyBytes))
+	body, err := x.readBody(s.cfg.MaxBodyBytes, 0)
 	if err != nil {
-		return bodyReadError(err)
+		return err
 	}
 	req := invoke.Request{
 		ID:           x.id,
--- a/router/front/sink.go
+++ b/router/front/sink.go
@@ -5,10 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"time"
 
 	"cicadastand.dev/core/proto/openai"
-	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/router/send"
 )
 
@@ -43,20 +41,13 @@
 
 // streamSink forwards each event as a server-sent event when it arrives.
 type streamSink struct {
-	x            *exchange
-	out          *http.ResponseController
-	clock        clock.Service
-	writeTimeout time.Duration
-	headerSent   bool
+	x          *exchange
+	out        *http.ResponseController
+	headerSent bool
 }
 
-func newStreamSink(x *exchange, service clock.Service, writeTimeout time.Duration) *streamSink {
-	return &streamSink{
-		x:            x,
-		out:          http.NewResponseController(x.w),
-		clock:        service,
-		writeTimeout: writeTimeout,
-	}
+func newStreamSink(x *exchange) *streamSink {
+	return &streamSink{x: x, out: http.NewResponseController(x.w)}
 }
 
 // Event writes one event to the caller. The first one is preceded by the headers.
@@ -71,9 +62,6 @@
 }
 
 func (s *streamSink) write(text string) error {
-	if err := s.out.SetWriteDeadline(s.clock.Now().Add(s.writeTimeout)); err != nil {
-		return fmt.Errorf("set write deadline: %w", err)
-	}
 	if _, err := s.x.w.Write([]byte(text)); err != nil {
 		return fmt.Errorf("write event: %w", err)
 	}
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -15,6 +15,7 @@
 	"cicadastand.dev/core/coord/avoid"
 	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/coord/eject"
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pace"
@@ -63,10 +64,14 @@
 	// memoryShare is the Go soft memory limit as a fraction of the platform's memory
 	// limit, which also counts bytes that are received and not yet read.
 	memoryShare = 0.6
-	// bodyShare is the fraction of the platform's memory limit for buffered request bodies.
-	bodyShare = 0.15
-	// responseShare is that for parts of responses that can't be forwarded yet.
+	// responseShare is the fraction of the platform's memory limit for parts of responses that can't be forwarded yet.
 	responseShare = 0.1
+	// clientWriteTimeout is how long a client may take no byte of its response: less than the
+	// time after which endpoints end a response that stays unread is not known, so it is the
+	// time that own hosts give callers by default.
+	clientWriteTimeout = 10 * time.Second
+	// headTimeout limits the time to read a head; the operator allows clients 3 s.
+	headTimeout = 10 * time.Second
 	// keyMargin allows for the time from the last check of an API key until the request
 	// reaches the endpoint.
 	keyMargin = 500 * time.Millisecond
@@ -164,6 +169,7 @@
 	weight     *weight.Runner
 	keep       *keep.Keeper
 	metrics    *metrics.Set
+	guard      *httpd.Guard
 
 	callerServer    *httpd.Server
 	readinessServer *httpd.Server
@@ -199,6 +205,8 @@
 	if dial == nil {
 		dial = dialer.WithKeepalive(keepalive)
 	}
+	bounds := hold.ConfigFor(s.MemoryBytes, s.MaxFiles)
+	h.guard = httpd.NewGuard(httpd.GuardConfig{Clock: cfg.Clock, Hold: bounds, Logger: cfg.Logger, Metrics: h.metrics})
 	h.conns = conns.New(conns.Config{
 		Clock:           cfg.Clock,
 		Dial:            dial,
@@ -206,6 +214,7 @@
 		IdleTimeout:     connIdleTimeout,
 		OnceIdleTimeout: connOnceIdleTimeout,
 		MaxIdle:         maxIdleConns,
+		MaxIdleTotal:    bounds.MaxSpareConns,
 	})
 	placementUpdates := kvmap.NewOutbox()
 	h.keep = keep.New(keep.Config{
@@ -248,7 +257,7 @@
 		FailureDomain:    s.FailureDomain,
 		OldWeightsGrace:  s.Bounds.OldWeightsGrace,
 		MaxConfigAge:     s.Bounds.MaxKeyAge - keyMargin,
-		MaxBuffered:      int64(bodyShare * float64(s.MemoryBytes)),
+		Guard:            h.guard,
 		MaxHeld:          int64(responseShare * float64(s.MemoryBytes)),
 		Logger:           cfg.Logger,
 		Metrics:          h.metrics,
@@ -281,6 +290,8 @@
 		Pauses:           h.pauses,
 		Room:             h.room,
 		Lease:            h,
+		Guard:            h.guard,
+		MaxMessages:      hold.MessageBytes(s.MemoryBytes),
 		Serve:            h.relay.ServeForwarded,
 		Interval:         shareInterval,
 		Logger:           cfg.Logger,
--- a/router/hosted/lifecycle.go
+++ b/router/hosted/lifecycle.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/trans/httpd"
 	"cicadastand.dev/platform"
@@ -39,7 +40,7 @@
 	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h.cancel = cancel
 	for _, loop := range []func(context.Context){
-		h.watch.RunPublished, h.watch.RunEntries, h.registrar.Run, h.share.Run, h.weight.Run, h.keep.RunWrites, h.keep.RunReads, h.keep.RunBases, h.relay.RunProbes, h.sweep,
+		h.watch.RunPublished, h.watch.RunEntries, h.registrar.Run, h.share.Run, h.weight.Run, h.keep.RunWrites, h.keep.RunReads, h.keep.RunBases, h.relay.RunProbes, h.sweep, h.guard.Run,
 	} {
 		h.workers.Add(1)
 		w := &worker{loop: loop, done: &h.workers}
@@ -56,16 +57,17 @@
 
 func (h *Host) listen(ctx context.Context) error {
 	var err error
-	if h.readinessServer, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Readiness, Handler: h.readinessHandler(), Clock: h.cfg.Clock, Logger: h.cfg.Logger}); err != nil {
+	if h.readinessServer, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Readiness, Handler: h.readinessHandler(), Clock: h.cfg.Clock, Logger: h.cfg.Logger, Guard: h.guard, Port: hold.Readiness, WriteTimeout: clientWriteTimeout}); err != nil {
 		return err
 	}
 	if h.cfg.MetricsPort > 0 {
 		address := netip.AddrPortFrom(h.settings.Address, h.cfg.MetricsPort)
-		if h.metricsServer, err = httpd.Listen(ctx, httpd.Config{Address: address, Handler: h.metricsHandler(), Clock: h.cfg.Clock, Logger: h.cfg.Logger}); err != nil {
+		if h.metricsServer, err = httpd.Listen(ctx, httpd.Config{Address: address, Handler: h.metricsHandler(), Clock: h.cfg.Clock, Logger: h.cfg.Logger, Guard: h.guard, Port: hold.Metrics, WriteTimeout: clientWriteTimeout}); err != nil {
 			return err
 		}
 	}
-	h.callerServer, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Callers, Handler: h.relay, Clock: h.cfg.Clock, Logger: h.cfg.Logger})
+	h.callerServer, err = httpd.Listen(ctx, httpd.Config{Address: h.settings.Callers, Handler: h.relay, Clock: h.cfg.Clock, Logger: h.cfg.Logger,
+		ReadTimeout: headTimeout, WriteTimeout: clientWriteTimeout, Guard: h.guard, Port: hold.Callers})
 	return err
 }
 
--- a/router/invoke/wire.go
+++ b/router/invoke/wire.go
@@ -19,6 +19,7 @@
 	"cicadastand.dev/core/state/fleet"
 	"cicadastand.dev/core/trans/dialer"
 	"cicadastand.dev/core/trans/httpc"
+	"cicadastand.dev/core/trans/httpd"
 )
 
 const (
@@ -98,7 +99,7 @@
 		return Response{}, fmt.Errorf("send call: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := httpd.LeaseOf(r.Context()).ReadResponse(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return Response{}, fmt.Errorf("read response: %w", err)
 	}
--- a/router/node/components.go
+++ b/router/node/components.go
@@ -22,6 +22,7 @@
 	"cicadastand.dev/core/state/stream"
 	"cicadastand.dev/core/state/usage"
 	"cicadastand.dev/core/trans/dialer"
+	"cicadastand.dev/core/trans/httpd"
 	"cicadastand.dev/router/certs"
 	"cicadastand.dev/router/front"
 	"cicadastand.dev/router/invoke"
@@ -38,6 +39,7 @@
 // provide registers the constructors of all components.
 func provide(n *Node) {
 	provideState(n)
+	provideGuard(n)
 	provideLog(n)
 	provideRouting(n)
 	provideRoll(n)
@@ -208,7 +210,6 @@
 			Poison:       do.MustInvoke[*poison.Table](i),
 			Usage:        do.MustInvoke[*usage.Counters](i),
 			MaxBodyBytes: s.Callers.MaxBodyBytes,
-			WriteTimeout: s.Callers.WriteTimeout,
 			Logger:       n.logger.Named("front"),
 			Metrics:      do.MustInvoke[*metrics.Set](i),
 		}), nil
@@ -248,6 +249,8 @@
 			Seeds:       s.Peers.Seeds,
 			Interval:    s.Peers.Interval,
 			Fanout:      s.Peers.Fanout,
+			Guard:       do.MustInvoke[*httpd.Guard](i),
+			MaxMessages: n.maxMessages,
 			ServerCreds: server,
 			ClientCreds: client,
 			Dial:        n.dial(),
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -16,6 +16,7 @@
 	"cicadastand.dev/core/coord/claim"
 	"cicadastand.dev/core/coord/follow"
 	"cicadastand.dev/core/coord/health"
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/coord/limit"
 	"cicadastand.dev/core/coord/member"
 	"cicadastand.dev/core/coord/poison"
@@ -38,26 +39,35 @@
 	"cicadastand.dev/router/tasks"
 )
 
+// Clock provides the time, timers and the time since boot.
+type Clock interface {
+	clock.Service
+	clock.Boot
+}
+
 // Node is a router process.
 type Node struct {
 	settings prefs.Settings
 	scope    *do.RootScope
 	logger   hclog.Logger
-	clock    clock.Service
+	clock    Clock
 	started  time.Time
 
 	front     *front.Server
 	callers   *httpd.Server
 	operators *httpd.Server
 
-	cancel         context.CancelFunc
-	workers        sync.WaitGroup
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+	// maxMessages is the memory for incomplete messages of peers.
+	maxMessages int64
+
 	drainRequested chan struct{}
 	drainOnce      sync.Once
 }
 
 // New builds the components of a process.
-func New(settings prefs.Settings, service clock.Service, logger hclog.Logger) *Node {
+func New(settings prefs.Settings, service Clock, logger hclog.Logger) *Node {
 	n := &Node{
 		settings:       settings,
 		scope:          do.New(),
@@ -116,6 +126,7 @@
 		do.MustInvoke[*roll.Runner](n.scope).Run,
 		do.MustInvoke[*probe.Prober](n.scope).Run,
 		do.MustInvoke[*pool.Pool](n.scope).Run,
+		do.MustInvoke[*httpd.Guard](n.scope).Run,
 	}
 }
 
@@ -128,25 +139,32 @@
 	if err != nil {
 		return err
 	}
+	guard := do.MustInvoke[*httpd.Guard](n.scope)
 	n.front = do.MustInvoke[*front.Server](n.scope)
 	n.callers, err = httpd.Listen(ctx, httpd.Config{
-		Address:     n.settings.Callers.Address,
-		Handler:     n.front.Handler(),
-		Clock:       n.clock,
-		Logger:      n.logger.Named("callers"),
-		TLS:         callerTLS,
-		ReadTimeout: n.settings.Callers.ReadTimeout,
-		IdleTimeout: n.settings.Callers.IdleTimeout,
+		Address:      n.settings.Callers.Address,
+		Handler:      n.front.Handler(),
+		Clock:        n.clock,
+		Logger:       n.logger.Named("callers"),
+		TLS:          callerTLS,
+		ReadTimeout:  n.settings.Callers.ReadTimeout,
+		IdleTimeout:  n.settings.Callers.IdleTimeout,
+		WriteTimeout: n.settings.Callers.WriteTimeout,
+		Guard:        guard,
+		Port:         hold.Callers,
 	})
 	if err != nil {
 		return err
 	}
 	n.operators, err = httpd.Listen(ctx, httpd.Config{
-		Address: n.settings.Operators.Address,
-		Handler: do.MustInvoke[*oper.Server](n.scope).Handler(),
-		Clock:   n.clock,
-		Logger:  n.logger.Named("operators"),
-		TLS:     operTLS,
+		Address:      n.settings.Operators.Address,
+		Handler:      do.MustInvoke[*oper.Server](n.scope).Handler(),
+		Clock:        n.clock,
+		Logger:       n.logger.Named("operators"),
+		TLS:          operTLS,
+		WriteTimeout: n.settings.Callers.WriteTimeout,
+		Guard:        guard,
+		Port:         hold.Operators,
 	})
 	return err
 }
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -21,6 +21,7 @@
 
 	"cicadastand.dev/core/coord/follow"
 	"cicadastand.dev/core/coord/health"
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/coord/limit"
 	"cicadastand.dev/core/coord/member"
 	"cicadastand.dev/core/coord/poison"
@@ -29,6 +30,7 @@
 	"cicadastand.dev/core/state/conf"
 	"cicadastand.dev/core/state/usage"
 	"cicadastand.dev/core/trans/dialer"
+	"cicadastand.dev/core/trans/httpd"
 )
 
 // Config configures a Service.
@@ -53,6 +55,10 @@
 	// ServerCreds and ClientCreds are the transport credentials of peer connections.
 	ServerCreds credentials.TransportCredentials
 	ClientCreds credentials.TransportCredentials
+	// Guard bounds connections and incomplete messages of other hosts, which may take
+	// MaxMessages bytes; nil for no bound.
+	Guard       *httpd.Guard
+	MaxMessages int64
 	// Dial opens connections to peers.
 	Dial    dialer.Func
 	Logger  hclog.Logger
@@ -108,8 +114,12 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes)}
+	if s.cfg.Guard != nil {
+		listener, options = s.cfg.Guard.RPC(listener, hold.Peers, s.cfg.MaxMessages)
+	}
 	s.listener = listener
-	s.server = grpc.NewServer(grpc.Creds(s.cfg.ServerCreds), grpc.MaxRecvMsgSize(maxMessageBytes))
+	s.server = grpc.NewServer(append(options, grpc.Creds(s.cfg.ServerCreds))...)
 	peerpb.RegisterPeerServer(s.server, s)
 	go s.run()
 	return nil
--- a/router/prefs/prefs.go
+++ b/router/prefs/prefs.go
@@ -29,6 +29,7 @@
 	Admission Admission `yaml:"admission"`
 	Chores    Chores    `yaml:"chores"`
 	Stop      Stop      `yaml:"stop"`
+	Limits    Limits    `yaml:"limits"`
 	Log       Log       `yaml:"log"`
 	// Snapshot is the path of a configuration snapshot that is used until a newer
 	// configuration is received.
@@ -64,9 +65,9 @@
 	TLS     TLS            `yaml:"tls"`
 	// MaxBodyBytes is the largest accepted request body.
 	MaxBodyBytes int64 `yaml:"max-body-bytes"`
-	// ReadTimeout bounds the time to read a request.
+	// ReadTimeout bounds the time to read the head of a request. A body must make progress.
 	ReadTimeout time.Duration `yaml:"read-timeout"`
-	// WriteTimeout bounds each write to a caller that reads slowly.
+	// WriteTimeout is how long a caller may take no byte of its response.
 	WriteTimeout time.Duration `yaml:"write-timeout"`
 	// IdleTimeout is how long an idle connection stays open.
 	IdleTimeout time.Duration `yaml:"idle-timeout"`
@@ -159,6 +160,19 @@
 	Grace time.Duration `yaml:"grace"`
 }
 
+// Limits are the limits of the process.
+type Limits struct {
+	// MemoryMB is the memory of the process in MiB; 0 for what GOMEMLIMIT or the machine
+	// gives.
+	MemoryMB int64 `yaml:"memory-mb"`
+	// MaxFiles is the number of descriptors that the process may open; 0 for the limit of
+	// the operating system.
+	MaxFiles int `yaml:"max-files"`
+	// MaxConnsPerAddress bounds the connections of one client address at each port; 0 for
+	// no bound.
+	MaxConnsPerAddress int `yaml:"max-connections-per-address"`
+}
+
 // Log configures the log of the process.
 type Log struct {
 	Level string `yaml:"level"`
@@ -227,6 +241,12 @@
 	return nil
 }
 
+// The least limits with which a router can serve requests.
+const (
+	minMemoryMB = 64
+	minFiles    = 256
+)
+
 type check struct {
 	ok     bool
 	field  string
@@ -267,6 +287,9 @@
 		{s.Stop.Notice >= 0, "stop.notice", "must not be negative"},
 		{s.Stop.Linger >= 0, "stop.linger", "must not be negative"},
 		{s.Stop.Grace > 0, "stop.grace", positive},
+		{s.Limits.MemoryMB == 0 || s.Limits.MemoryMB >= minMemoryMB, "limits.memory-mb", fmt.Sprintf("must be 0 or at least %d", minMemoryMB)},
+		{s.Limits.MaxFiles == 0 || s.Limits.MaxFiles >= minFiles, "limits.max-files", fmt.Sprintf("must be 0 or at least %d", minFiles)},
+		{s.Limits.MaxConnsPerAddress >= 0, "limits.max-connections-per-address", "must not be negative"},
 		{hclog.LevelFromString(s.Log.Level) != hclog.NoLevel, "log.level", "must be trace, debug, info, warn or error"},
 	}
 }
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -282,6 +282,7 @@
 	if j.started {
 		return false, newRejection(http.StatusBadGateway, 0, "endpoint %s answered a resumed stream with %d", c.endpoint.ID, resp.Status)
 	}
+	j.releaseBody()
 	if err := j.writeResponse(full); err != nil {
 		j.r.cfg.Poison.RecordCrash(j.fingerprint, j.r.cfg.Clock.Now())
 		return false, newRejection(http.StatusBadGateway, 0, "endpoint %s did not complete its answer: %v", c.endpoint.ID, err)
--- a/router/relay/forward.go
+++ b/router/relay/forward.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,8 +8,10 @@
 	"net/http"
 	"strconv"
 
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/state/site"
+	"cicadastand.dev/core/trans/httpd"
 	"cicadastand.dev/router/conns"
 )
 
@@ -36,6 +37,12 @@
 // forward has another host send the request.
 func (j *job) forward(ctx context.Context) (retry bool, fault *rejection) {
 	r := j.r
+	// The message to the other host holds a copy of the body.
+	size := int64(len(j.body))
+	if !j.lease.TryTake(hold.Bodies, size) {
+		return false, newRejection(http.StatusServiceUnavailable, retryAfterBusy, "%v to forward", httpd.ErrNoRoom)
+	}
+	defer j.lease.Give(hold.Bodies, size)
 	j.sends++
 	j.unsent = 0
 	resp, err := r.cfg.Peers.Forward(ctx, j.forwarded())
@@ -176,11 +183,13 @@
 		Host:          f.Authority,
 		RequestURI:    f.URI,
 		Header:        f.Header,
-		Body:          io.NopCloser(bytes.NewReader(f.Body)),
 		ContentLength: int64(len(f.Body)),
 	}).WithContext(ctx)
+	lease := r.cfg.Guard.Open()
+	defer lease.Close()
 	j := r.newJob(w, req)
-	j.forwardedBy = f.Host
+	j.setLease(lease)
+	j.forwardedBy, j.body = f.Host, f.Body
 	j.params.Timeout = f.Timeout
 	j.build, j.hasBuild = f.Build, f.HasBuild
 	j.attempts, j.attemptsBefore = f.Attempts, f.Attempts
@@ -197,7 +206,6 @@
 		j.reject(fault)
 		return nil
 	}
-	defer r.buffered.Add(-int64(len(j.body)))
 	if r.cfg.Reach.IsCutOff(j.serviceName) || !r.confirmReach(ctx, j.serviceName) {
 		j.notReached = true
 		j.outcome = "not-reached"
--- a/router/relay/held.go
+++ b/router/relay/held.go
@@ -4,6 +4,9 @@
 	"errors"
 	"io"
 	"sync/atomic"
+
+	"cicadastand.dev/core/coord/hold"
+	"cicadastand.dev/core/trans/httpd"
 )
 
 const (
@@ -25,6 +28,8 @@
 // heldBytes is what one request holds.
 type heldBytes struct {
 	limit *heldLimit
+	// lease charges them with what else the request holds.
+	lease *httpd.Lease
 	used  int64
 }
 
@@ -35,13 +40,19 @@
 		h.limit.total.Add(-more)
 		return false
 	}
+	if more > 0 && !h.lease.TryTake(hold.Responses, more) {
+		h.limit.total.Add(-more)
+		return false
+	}
 	h.used += int64(n)
 	return true
 }
 
 // release gives all bytes back.
 func (h *heldBytes) release() {
-	h.limit.total.Add(-max(0, h.used-freeHeldBytes))
+	held := max(0, h.used-freeHeldBytes)
+	h.limit.total.Add(-held)
+	h.lease.Give(hold.Responses, held)
 	h.used = 0
 }
 
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strings"
@@ -12,11 +11,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/mirror"
 	"cicadastand.dev/core/state/site"
+	"cicadastand.dev/core/trans/httpd"
 )
 
 const (
@@ -49,6 +50,8 @@
 	service     *site.Service
 	serviceName string
 	body        []byte
+	// lease charges what the request holds.
+	lease *httpd.Lease
 	// held is what is in memory of the responses that were read in full.
 	held        heldBytes
 	fingerprint poison.Fingerprint
@@ -108,9 +111,13 @@
 
 func (r *Relay) newJob(w http.ResponseWriter, req *http.Request) *job {
 	params := r.cfg.Codec.Request(req.Header)
-	return &job{r: r, w: w, req: req, start: r.cfg.Clock.Now(), params: params, shared: sharedParts(&params), held: heldBytes{limit: &r.held}, tried: make(map[string]bool), outcome: "none"}
+	j := &job{r: r, w: w, req: req, start: r.cfg.Clock.Now(), params: params, shared: sharedParts(&params), held: heldBytes{limit: &r.held}, tried: make(map[string]bool), outcome: "none"}
+	j.setLease(httpd.LeaseOf(req.Context()))
+	return j
 }
 
+func (j *job) setLease(l *httpd.Lease) { j.lease, j.held.lease = l, l }
+
 // admit matches the route, authenticates the client, and then reads the body.
 func (j *job) admit() *rejection {
 	r := j.r
@@ -127,6 +134,9 @@
 		return newRejection(http.StatusNotFound, 0, "no route for this host and path")
 	}
 	j.route = route
+	if fault := j.checkHead(); fault != nil {
+		return fault
+	}
 	if fault := j.authenticate(); fault != nil {
 		return fault
 	}
@@ -178,6 +188,28 @@
 	}
 }
 
+// checkHead rejects a head that is larger than the operator allows.
+func (j *job) checkHead() *rejection {
+	limit := j.view.Config.Limits.MaxHeaderBytes
+	if limit <= 0 || j.forwardedBy != "" {
+		return nil
+	}
+	// The method, the spaces, the protocol and the ends of two lines.
+	const rest = len(" HTTP/1.1\r\n \r\n")
+	size := rest + len(j.req.Method) + len(j.req.RequestURI) + len("Host: \r\n") + len(j.req.Host)
+	for name, values := range j.req.Header {
+		for _, v := range values {
+			size += len(name) + len(": \r\n") + len(v)
+		}
+	}
+	if size <= limit {
+		return nil
+	}
+	e := newRejection(http.StatusRequestHeaderFieldsTooLarge, 0, "header is larger than %d bytes", limit)
+	e.close = true
+	return e
+}
+
 func (j *job) readBody() *rejection {
 	limit := j.view.Config.Limits.MaxBodyBytes
 	if limit <= 0 {
@@ -188,23 +220,45 @@
 		e.close = true
 		return e
 	}
-	if j.r.buffered.Load() > j.r.cfg.MaxBuffered {
-		e := newRejection(http.StatusServiceUnavailable, retryAfterBusy, "no memory for the request body")
-		e.close = true
-		return e
+	if fault := j.receiveBody(limit); fault != nil {
+		return fault
+	}
+	j.fingerprint = j.computeFingerprint()
+	return nil
+}
+
+// receiveBody reads the body from the client, or charges that of a forwarded request.
+func (j *job) receiveBody(limit int64) *rejection {
+	ctx := j.req.Context()
+	var err error
+	if j.forwardedBy != "" {
+		err = j.lease.Take(ctx, hold.Bodies, int64(len(j.body)))
+	} else {
+		j.body, err = j.lease.ReadBody(ctx, j.w, j.req.Body, j.req.ContentLength, limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.req.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		return nil
 	case errors.As(err, &tooLarge):
 		return newRejection(http.StatusRequestEntityTooLarge, 0, "body is larger than %d bytes", limit)
-	case err != nil:
+	case errors.Is(err, httpd.ErrNoRoom):
+		e := newRejection(http.StatusServiceUnavailable, retryAfterBusy, "%v", err)
+		e.close = true
+		return e
+	case errors.Is(err, httpd.ErrStalled):
+		e := newRejection(http.StatusRequestTimeout, 0, "%v", err)
+		e.close = true
+		return e
+	default:
 		return errBodyIncomplete
 	}
-	j.body = body
-	j.r.buffered.Add(int64(len(body)))
-	j.fingerprint = j.computeFingerprint()
-	return nil
+}
+
+// releaseBody gives up the body of a request that is not sent again.
+func (j *job) releaseBody() {
+	j.lease.Give(hold.Bodies, int64(cap(j.body)))
+	j.body = nil
 }
 
 // computeFingerprint returns a hash of the client account and the content of the
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -26,6 +26,7 @@
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
 	"cicadastand.dev/core/state/mirror"
+	"cicadastand.dev/core/trans/httpd"
 	"cicadastand.dev/router/conns"
 )
 
@@ -123,8 +124,8 @@
 	// MaxConfigAge is the age of the configuration up to which API keys are accepted:
 	// an older one may lack the revocation of a key.
 	MaxConfigAge time.Duration
-	// MaxBuffered limits the total bytes of request bodies in memory.
-	MaxBuffered int64
+	// Guard bounds the memory of requests that other hosts forward; nil for no bound.
+	Guard *httpd.Guard
 	// MaxHeld limits the total bytes of responses that can't be forwarded yet.
 	MaxHeld int64
 	Logger  hclog.Logger
@@ -139,7 +140,6 @@
 	weights    *reportedWeights
 	crashes    *crashes
 	roundRobin atomic.Uint64
-	buffered   atomic.Int64
 	held       heldLimit
 	inFlight   atomic.Int64
 	stopping   atomic.Bool
@@ -223,6 +223,5 @@
 		j.reject(fault)
 		return
 	}
-	defer r.buffered.Add(-int64(len(j.body)))
 	j.run()
 }
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -35,7 +35,7 @@
 }
 
 func (j *job) newEventReader(src io.Reader) *eventReader {
-	return &eventReader{src: src, held: heldBytes{limit: &j.r.held}}
+	return &eventReader{src: src, held: heldBytes{limit: &j.r.held, lease: j.lease}}
 }
 
 // next returns the next event, including the blank line that ends it. The event is valid until
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -20,6 +20,7 @@
 	"github.com/samber/lo"
 	"google.golang.org/grpc"
 
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pause"
@@ -33,6 +34,7 @@
 	"cicadastand.dev/core/state/kvmap"
 	"cicadastand.dev/core/state/mirror"
 	"cicadastand.dev/core/state/site"
+	"cicadastand.dev/core/trans/httpd"
 )
 
 // Clock provides both the wall clock and the clock that continues during suspension.
@@ -88,6 +90,10 @@
 	// Serve serves a request of a client of another host. It returns call.ErrNotForwarded if
 	// the request has not run, because this host can't serve it.
 	Serve func(ctx context.Context, req call.Forwarded, w http.ResponseWriter) error
+	// Guard bounds connections and incomplete messages of other hosts, which may take
+	// MaxMessages bytes; nil for no bound.
+	Guard       *httpd.Guard
+	MaxMessages int64
 	// Interval is the time between status messages.
 	Interval time.Duration
 	Logger   hclog.Logger
@@ -167,8 +173,12 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxForwardedBytes)}
+	if s.cfg.Guard != nil {
+		listener, options = s.cfg.Guard.RPC(listener, hold.Peers, s.cfg.MaxMessages)
+	}
 	s.listener = listener
-	s.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxForwardedBytes))
+	s.server = grpc.NewServer(options...)
 	loadpb.RegisterLoadServer(s.server, &rpcServer{Service: s})
 	go s.run()
 	return nil
