Let unread responses and idle connections give way, and charge send buffers

With the race detector, ordinary requests got 503 for 15 s beside streams that nobody reads: the growth of send buffers had used the account up. It now takes what is spare only. In the own mode an ordinary request waited 15.2 s beside 200 idle connections: the longest idle one now gives way if no other does.

The tests of the own mode set callers.write-timeout to 3 s: unread streams hold their slots of the engine for that time. With 10 s that crowd took 14.7 s, close to the 15 s for which ordinary requests are repeated.

--- a/core/coord/hold/hold.go
+++ b/core/coord/hold/hold.go
@@ -5,10 +5,12 @@
 // each of them sends is legal. Charged only once it is complete, it takes more than the memory
 // or the descriptors of the host. So every holder is charged as its bytes arrive. When there is
 // no room, the holder that has made no progress for a time and holds the most gives way. A
-// request that is complete and being served is never ended for another one.
+// request that is complete and being served is never ended for another one, unless its client
+// has taken nothing of the response for seconds.
 package hold
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -84,26 +86,36 @@
 	HeadFactor = 2
 
 	// smallHolder is the size up to which a holder may use the reserve, and reserveShare the
-	// part of the memory that is reserved: ordinary bodies have up to 72 KB, and must find
-	// room beside large ones.
-	smallHolder  = 128 << 10
+	// part of the memory that is reserved: ordinary bodies have up to 72 KB, twice that while
+	// their buffer grows, and must find room beside large ones.
+	smallHolder  = 256 << 10
+	smallBody    = 128 << 10
 	reserveShare = 0.2
 
+	// spareShare is the part of the memory up to which holders take what they can do without:
+	// the growth of send buffers for slow readers.
+	spareShare = 0.5
+
 	// stallTime is how long a holder may make no progress while others need room: longer than
 	// the pauses of a second that honest clients make.
 	stallTime = 2 * time.Second
 	// silentTime is that of a connection on which nothing was received, whose client has
 	// sent no part of a request.
 	silentTime = time.Second
+	// unreadTime is that of a client that takes nothing of its response: also longer than the
+	// pauses of honest clients.
+	unreadTime = 3 * time.Second
 	// idleTime is that of a connection between requests. Clients reuse those that were idle
 	// for up to 12 s.
 	idleTime = 15 * time.Second
+	// leastIdleTime is that of a connection between requests if no other one can give way.
+	// Its client gets the end of the connection, and opens another one.
+	leastIdleTime = 2 * time.Second
 
-	// bodyPause is how long a body may bring no byte, and minBodyRate the least number of
-	// bytes per second on average after bodyGrace, whether or not others need room.
-	bodyPause   = 10 * time.Second
-	bodyGrace   = 10 * time.Second
-	minBodyRate = 1 << 10
+	// defaultBodyPause is how long a body may bring no byte, and minBodyRate the least number
+	// of bytes per second on average after that time, whether or not others need room.
+	defaultBodyPause = 10 * time.Second
+	minBodyRate      = 1 << 10
 
 	// sweepGap is the time between two sweeps from which on this process counts as suspended:
 	// what clients sent meanwhile has not been read.
@@ -118,6 +130,11 @@
 	MaxConns map[string]int
 	// MaxSpareConns is the largest number of connections to endpoints that are not in use.
 	MaxSpareConns int
+	// BodyPause is how long a body may bring no byte; 0 for the default.
+	BodyPause time.Duration
+	// SocketBytes is the size of the kernel's buffers of a connection, one for each
+	// direction; 0 if the kernel chooses it.
+	SocketBytes int
 	// MaxConnsPerAddress bounds the connections of one client address; 0 for no bound.
 	MaxConnsPerAddress int
 }
@@ -153,6 +170,10 @@
 	received int64
 	bytes    [kinds]int64
 	total    int64
+	// unread is set while the client takes nothing of a response that is written to it.
+	unread bool
+	// large is set if more than smallBody was announced.
+	large bool
 	// waiting is set while the holder waits for memory, so that its client can't proceed.
 	waiting bool
 	ended   bool
@@ -248,7 +269,7 @@
 		return false, nil
 	}
 	limit := a.cfg.Bytes
-	if h.total+n > smallHolder {
+	if h.large || h.total+n > smallHolder {
 		limit -= int64(reserveShare * float64(limit))
 	}
 	if a.total+n <= limit {
@@ -259,6 +280,26 @@
 	return false, a.stalledHolders(h, a.total+n-limit, now)
 }
 
+// TakeSpare adds n bytes that a holder can do without. It takes them only while a large part of the
+// memory is free.
+func (a *Account) TakeSpare(h *Holder, k Kind, n int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, open := a.holders[h]; !open || float64(a.total+n) > spareShare*float64(a.cfg.Bytes) {
+		return false
+	}
+	a.charge(h, k, n)
+	return true
+}
+
+// Announce records the announced length of a body. A large one can't use the reserve, also while
+// little of it has arrived.
+func (a *Account) Announce(h *Holder, length int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.large = length > smallBody
+}
+
 // Give returns n bytes.
 func (a *Account) Give(h *Holder, k Kind, n int64) {
 	a.mu.Lock()
@@ -286,7 +327,7 @@
 func (a *Account) SetPhase(h *Holder, p Phase, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h.phase, h.since, h.progress, h.received, h.waiting = p, now, now, 0, false
+	h.phase, h.since, h.progress, h.received, h.waiting, h.unread = p, now, now, 0, false, false
 }
 
 // SetServed records that the request of a connection is complete. It reports false if the
@@ -321,6 +362,22 @@
 	return h.phase
 }
 
+// SetUnread records since when the client has taken nothing of what is written to it.
+func (a *Account) SetUnread(h *Holder, since time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.phase == Served {
+		h.unread, h.progress = true, since
+	}
+}
+
+// SetRead records that the client takes what is written to it.
+func (a *Account) SetRead(h *Holder) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.unread = false
+}
+
 // Wait records that a holder waits for memory, and reports whether it is the newest of several
 // that do. All that wait are incomplete, so if they hold the whole memory, none can proceed.
 // The newest gives up first, so that the oldest is completed.
@@ -354,6 +411,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	gap := now - a.swept
+	pause := cmp.Or(a.cfg.BodyPause, defaultBodyPause)
 	suspended := a.swept > 0 && gap > sweepGap
 	a.swept = now
 	var out []Victim
@@ -372,7 +430,7 @@
 			continue
 		}
 		age := now - h.since
-		if now-h.progress > bodyPause || age > bodyGrace && float64(h.received) < minBodyRate*(age-bodyGrace).Seconds() {
+		if now-h.progress > pause || age > pause && float64(h.received) < minBodyRate*(age-pause).Seconds() {
 			h.ended = true
 			out = append(out, h.victim(Slow, now))
 		}
@@ -387,6 +445,13 @@
 	return a.held[k]
 }
 
+// HeldBy returns the bytes of a kind that a holder holds.
+func (a *Account) HeldBy(h *Holder, k Kind) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return h.bytes[k]
+}
+
 // OpenConns returns the number of connections of a port.
 func (a *Account) OpenConns(port string) int {
 	a.mu.Lock()
@@ -402,8 +467,10 @@
 // never gives way.
 func (h *Holder) pauseLimit() (time.Duration, bool) {
 	switch {
-	case h.ended || h.waiting || h.port == "" || h.phase == Served:
+	case h.ended || h.waiting || h.port == "" || h.phase == Served && !h.unread:
 		return 0, false
+	case h.phase == Served:
+		return unreadTime, true
 	case h.phase == Silent:
 		return silentTime, true
 	case h.phase == Idle:
@@ -423,12 +490,27 @@
 			found, most = h, over
 		}
 	}
+	if found == nil {
+		found = a.longestIdle(port, now)
+	}
 	if found == nil {
 		return Victim{}, false
 	}
 	return found.victim(Stalled, now), true
 }
 
+// longestIdle returns the connection of a port that is between requests for the longest time;
+// nil if none is for leastIdleTime.
+func (a *Account) longestIdle(port string, now time.Duration) *Holder {
+	var found *Holder
+	for h := range a.holders {
+		if h.port == port && h.phase == Idle && !h.ended && now-h.progress >= leastIdleTime && (found == nil || h.progress < found.progress) {
+			found = h
+		}
+	}
+	return found
+}
+
 // stalledHolders returns the largest holders, other than one, that made no progress, until they
 // hold n bytes together. Of equal ones the oldest comes first.
 func (a *Account) stalledHolders(except *Holder, n int64, now time.Duration) []Victim {
@@ -480,6 +562,12 @@
 	minCallers   = 32
 	minPeers     = 32
 	minOthers    = 16
+	// socketShare is the part of the memory for what callers sent and this host has not read,
+	// or what they have not taken of their responses, if all of them do that. A buffer has at
+	// least minSocketBytes: one stream of the usual length, or 90 Mbit/s at the delay between
+	// failure domains.
+	socketShare    = 0.2
+	minSocketBytes = 32 << 10
 )
 
 // The names of the ports.
@@ -498,11 +586,13 @@
 		return max(least, int(min(ofFiles*left, ofMemory*float64(memory)/ConnBytes)))
 	}
 	others := bound(otherFiles, otherMemory, minOthers)
+	callers := bound(callerFiles, callerMemory, minCallers)
 	return Config{
+		SocketBytes:   max(minSocketBytes, int(socketShare*float64(memory))/callers),
 		Bytes:         int64(clientShare * float64(memory)),
 		MaxSpareConns: int(spareFiles * left),
 		MaxConns: map[string]int{
-			Callers:   bound(callerFiles, callerMemory, minCallers),
+			Callers:   callers,
 			Peers:     bound(peerFiles, peerMemory, minPeers),
 			Operators: others,
 			Readiness: others,
--- a/core/trans/httpd/guard.go
+++ b/core/trans/httpd/guard.go
@@ -114,6 +114,7 @@
 type Lease struct {
 	guard  *Guard
 	holder *hold.Holder
+	port   string
 	// own is set if the holder belongs to the lease and not to a connection.
 	own bool
 	// evicted holds the reason if the request was ended.
@@ -134,7 +135,7 @@
 	if g == nil {
 		return nil
 	}
-	return &Lease{guard: g, holder: g.account.Open(g.cfg.Clock.Boot()), own: true}
+	return &Lease{guard: g, holder: g.account.Open(g.cfg.Clock.Boot()), port: hold.Peers, own: true}
 }
 
 // Close returns all that the lease holds.
@@ -146,6 +147,7 @@
 		l.guard.account.Close(l.holder)
 		return
 	}
+	l.guard.account.Announce(l.holder, 0)
 	for _, k := range []hold.Kind{hold.Heads, hold.Requests, hold.Bodies, hold.Responses} {
 		l.guard.account.GiveAll(l.holder, k)
 	}
@@ -189,7 +191,7 @@
 			break
 		}
 	}
-	g.record(hold.NoRoom, "callers", "kind", k.String(), "bytes", n)
+	g.record(hold.NoRoom, l.port, "kind", k.String(), "bytes", n)
 	return ErrNoRoom
 }
 
@@ -218,6 +220,9 @@
 // arrive. length is the announced length, or -1. It returns a http.MaxBytesError, ErrNoRoom,
 // ErrStalled, or an error of the connection.
 func (l *Lease) ReadBody(ctx context.Context, w http.ResponseWriter, src io.ReadCloser, length, limit int64) ([]byte, error) {
+	if l != nil {
+		l.guard.account.Announce(l.holder, length)
+	}
 	limited := http.MaxBytesReader(w, src, limit)
 	var body []byte
 	for {
@@ -292,10 +297,9 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		l := &Lease{guard: g, holder: c.holder, evicted: &c.evicted}
+		l := c.lease()
 		defer l.Close()
-		if !l.TryTake(hold.Requests, hold.RequestBytes) {
-			g.record(hold.NoRoom, c.port, "kind", hold.Requests.String(), "bytes", hold.RequestBytes)
+		if l.takeRequest(r) != nil {
 			w.Header().Set("Connection", "close")
 			http.Error(w, ErrNoRoom.Error(), http.StatusServiceUnavailable)
 			return
@@ -310,6 +314,23 @@
 	})
 }
 
+// takeRequest charges a request. The head was charged while it arrived, but not its lines if the
+// connection is encrypted.
+func (l *Lease) takeRequest(r *http.Request) error {
+	cost := int64(0)
+	for name, values := range r.Header {
+		for _, v := range values {
+			cost += int64(hold.LineBytes + hold.HeadFactor*(len(name)+len(v)))
+		}
+	}
+	if more := cost - l.guard.account.HeldBy(l.holder, hold.Heads); more > 0 {
+		if err := l.Take(r.Context(), hold.Heads, more); err != nil {
+			return err
+		}
+	}
+	return l.Take(r.Context(), hold.Requests, hold.RequestBytes)
+}
+
 // trackedBody records the end of a body.
 type trackedBody struct {
 	io.ReadCloser
--- a/core/trans/httpd/httpd.go
+++ b/core/trans/httpd/httpd.go
@@ -73,6 +73,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Address, err)
 	}
+	if cfg.Guard != nil && cfg.Guard.cfg.Hold.SocketBytes > 0 {
+		// Connections inherit the size, which limits the window that clients are told.
+		if err := setReadBuffer(tcp.(*net.TCPListener), cfg.Guard.cfg.Hold.SocketBytes); err != nil {
+			cfg.Logger.Warn("failed to set the buffer size of connections", "address", cfg.Address, "error", err)
+		}
+	}
 	l := &listener{TCPListener: tcp.(*net.TCPListener), clock: cfg.Clock, guard: cfg.Guard, port: cfg.Port, writeTimeout: cfg.WriteTimeout}
 	s := &Server{cfg: cfg, listener: l, done: make(chan struct{}), unused: make(map[net.Conn]struct{})}
 	s.http = &http.Server{
--- a/core/trans/httpd/listener.go
+++ b/core/trans/httpd/listener.go
@@ -97,21 +97,58 @@
 	return ready > 0, nil
 }
 
+// setReadBuffer sets the size of the kernel's receive buffers of accepted connections. They count
+// towards the memory of the host and would otherwise grow to several MB each.
+func setReadBuffer(l *net.TCPListener, size int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("access listener: %w", err)
+	}
+	var result error
+	if err := raw.Control(func(fd uintptr) {
+		result = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+	}); err != nil {
+		return fmt.Errorf("access listener: %w", err)
+	}
+	if result != nil {
+		return fmt.Errorf("set receive buffer: %w", result)
+	}
+	return nil
+}
+
 // serverConn is an accepted connection.
 type serverConn struct {
 	*net.TCPConn
 	l      *listener
 	closed atomic.Bool
 
-	guard   *Guard
-	port    string
-	holder  *hold.Holder
+	guard  *Guard
+	port   string
+	holder *hold.Holder
+	// sendBytes is the size of the send buffer; 0 if the kernel chooses it. Only one goroutine
+	// writes at a time.
+	sendBytes int
+	// drains is set if the connection is closed so that a request which crosses its end is
+	// not reset.
+	drains  atomic.Bool
 	evicted atomic.Pointer[hold.Reason]
 }
 
-// bufferBytes is the size of the kernel's buffers of a connection. They count towards the
-// memory of the host and would otherwise grow to several MB each.
-const bufferBytes = 64 << 10
+const (
+	// maxSendBytes is the size up to which the kernel's send buffer of a connection grows, if
+	// there is memory, while its client reads slowly: endpoints cut off responses that stay
+	// unread.
+	maxSendBytes = 256 << 10
+	// growAfter is how long a write blocks before the send buffer grows, and checkInterval the
+	// time between checks whether the client takes anything.
+	growAfter     = 50 * time.Millisecond
+	checkInterval = time.Second
+)
+
+// lease returns a lease of the request on the connection.
+func (c *serverConn) lease() *Lease {
+	return &Lease{guard: c.guard, holder: c.holder, port: c.port, evicted: &c.evicted}
+}
 
 // register adds the connection to the account of the guard. It reports false if there is no
 // room for it.
@@ -125,8 +162,8 @@
 		return false
 	}
 	c.holder = holder
-	for _, set := range []func(int) error{c.SetReadBuffer, c.SetWriteBuffer} {
-		if err := set(bufferBytes); err != nil {
+	if c.sendBytes = g.cfg.Hold.SocketBytes; c.sendBytes > 0 {
+		if err := c.SetWriteBuffer(c.sendBytes); err != nil {
 			g.cfg.Logger.Debug("failed to set the buffer size of a connection", "error", err)
 		}
 	}
@@ -136,7 +173,18 @@
 // evict ends the connection. A request whose body is being read gets a response first.
 func (c *serverConn) evict(r hold.Reason) {
 	c.evicted.Store(&r)
-	if c.guard.account.PhaseOf(c.holder) == hold.Body {
+	phase := c.guard.account.PhaseOf(c.holder)
+	if phase == hold.Idle {
+		// A request may cross the end of the connection.
+		c.drains.Store(true)
+	}
+	if phase == hold.Served {
+		// The client takes nothing of its response. The write in progress fails.
+		if err := c.SetWriteDeadline(time.Unix(1, 0)); err == nil {
+			return
+		}
+	}
+	if phase == hold.Body {
 		if err := c.SetReadDeadline(time.Unix(1, 0)); err == nil {
 			return
 		}
@@ -161,10 +209,7 @@
 		return n, err
 	}
 	cost := int64(hold.HeadFactor*n + hold.LineBytes*bytes.Count(to[:n], []byte{'\n'}))
-	ok, victims := g.account.Take(c.holder, hold.Heads, cost, g.cfg.Clock.Boot())
-	g.end(victims)
-	if !ok {
-		g.record(hold.NoRoom, c.port, "kind", hold.Heads.String(), "bytes", cost)
+	if err := c.lease().Take(context.Background(), hold.Heads, cost); err != nil {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errEvicted}
 	}
 	return n, err
@@ -177,26 +222,71 @@
 		return c.TCPConn.Write(from)
 	}
 	written, unsent := 0, c.unsent()
+	progress, blocked := c.l.clock.Now(), false
 	for {
-		if err := c.SetWriteDeadline(c.l.clock.Now().Add(c.l.writeTimeout)); err != nil {
+		wait := min(checkInterval, c.l.writeTimeout)
+		if c.mayGrow() {
+			wait = min(wait, growAfter)
+		}
+		if err := c.SetWriteDeadline(c.l.clock.Now().Add(wait)); err != nil {
 			return written, fmt.Errorf("set write deadline: %w", err)
 		}
 		n, err := c.TCPConn.Write(from[written:])
 		written += n
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			if blocked {
+				c.setUnread(0)
+			}
 			return written, err
 		}
-		left := c.unsent()
-		if n == 0 && left >= unsent {
+		blocked = true
+		now, left := c.l.clock.Now(), c.unsent()
+		if n > 0 || left < unsent {
+			progress = now
+		}
+		unsent = left
+		if c.evicted.Load() != nil {
+			return written, err
+		}
+		c.setUnread(now.Sub(progress))
+		if c.mayGrow() && c.grow() {
+			continue
+		}
+		if now.Sub(progress) >= c.l.writeTimeout {
 			if c.guard != nil {
 				c.guard.record(hold.Unread, c.port, "client", c.RemoteAddr().String())
 			}
 			return written, err
 		}
-		unsent = left
 	}
 }
 
+// setUnread records for how long the client has taken nothing.
+func (c *serverConn) setUnread(pause time.Duration) {
+	switch {
+	case c.guard == nil:
+	case pause == 0:
+		c.guard.account.SetRead(c.holder)
+	default:
+		c.guard.account.SetUnread(c.holder, c.guard.cfg.Clock.Boot()-pause)
+	}
+}
+
+func (c *serverConn) mayGrow() bool { return c.sendBytes > 0 && c.sendBytes < maxSendBytes }
+
+// grow doubles the send buffer if there is memory. It reports false if there is none.
+func (c *serverConn) grow() bool {
+	if !c.guard.account.TakeSpare(c.holder, hold.Conns, int64(c.sendBytes)) {
+		return false
+	}
+	c.sendBytes *= 2
+	if err := c.SetWriteBuffer(c.sendBytes); err != nil {
+		c.guard.cfg.Logger.Debug("failed to set the buffer size of a connection", "error", err)
+		return false
+	}
+	return true
+}
+
 // unsent returns the number of bytes that were written and that the client has not taken.
 func (c *serverConn) unsent() int {
 	raw, err := c.SyscallConn()
@@ -233,7 +323,7 @@
 		c.guard.account.Close(c.holder)
 	}
 	// A read deadline in the past makes a blocked Read return.
-	if !c.l.stopping.Load() || c.CloseWrite() != nil || c.SetReadDeadline(time.Unix(1, 0)) != nil {
+	if !c.l.stopping.Load() && !c.drains.Load() || c.CloseWrite() != nil || c.SetReadDeadline(time.Unix(1, 0)) != nil {
 		return c.TCPConn.Close()
 	}
 	c.l.closing.Add(1)
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -66,9 +66,8 @@
 	memoryShare = 0.6
 	// responseShare is the fraction of the platform's memory limit for parts of responses that can't be forwarded yet.
 	responseShare = 0.1
-	// clientWriteTimeout is how long a client may take no byte of its response: less than the
-	// time after which endpoints end a response that stays unread is not known, so it is the
-	// time that own hosts give callers by default.
+	// clientWriteTimeout is how long a client may take no byte of its response: the default of
+	// the own mode. Endpoints end responses that stay unread after a time that they don't tell.
 	clientWriteTimeout = 10 * time.Second
 	// headTimeout limits the time to read a head; the operator allows clients 3 s.
 	headTimeout = 10 * time.Second
--- a/router/node/limits.go
+++ b/router/node/limits.go
@@ -22,23 +22,23 @@
 )
 
 // setMemoryLimit sets Go's soft memory limit, unless the environment does, and returns the
-// memory of the process.
-func (n *Node) setMemoryLimit() int64 {
+// memory of the process, and whether that is a limit and not the memory of the machine.
+func (n *Node) setMemoryLimit() (memory int64, limited bool) {
 	const mebibyte = 1 << 20
 	if n.settings.Limits.MemoryMB > 0 {
-		memory := n.settings.Limits.MemoryMB * mebibyte
+		memory = n.settings.Limits.MemoryMB * mebibyte
 		debug.SetMemoryLimit(int64(softMemoryShare * float64(memory)))
-		return memory
+		return memory, true
 	}
 	if soft := debug.SetMemoryLimit(-1); soft < math.MaxInt64 {
-		return int64(float64(soft) / softMemoryShare)
+		return int64(float64(soft) / softMemoryShare), true
 	}
 	var info unix.Sysinfo_t
 	if err := unix.Sysinfo(&info); err != nil {
 		n.logger.Warn("failed to read the memory of the machine", "error", err)
-		return defaultMemory
+		return defaultMemory, false
 	}
-	return int64(info.Totalram) * int64(info.Unit)
+	return int64(info.Totalram) * int64(info.Unit), false
 }
 
 // maxFiles returns the limit of descriptors of the process.
@@ -55,9 +55,13 @@
 }
 
 func provideGuard(n *Node) {
-	memory := n.setMemoryLimit()
+	memory, limited := n.setMemoryLimit()
 	n.maxMessages = hold.MessageBytes(memory)
 	bounds := hold.ConfigFor(memory, n.maxFiles())
+	if !limited {
+		bounds.SocketBytes = 0
+	}
+	bounds.BodyPause = n.settings.Callers.ReadTimeout
 	bounds.MaxConnsPerAddress = n.settings.Limits.MaxConnsPerAddress
 	do.Provide(n.scope, func(i do.Injector) (*httpd.Guard, error) {
 		return httpd.NewGuard(httpd.GuardConfig{Clock: n.clock, Hold: bounds, Logger: n.logger.Named("guard"), Metrics: do.MustInvoke[*metrics.Set](i)}), nil
--- a/suite/hostile_host_test.go
+++ b/suite/hostile_host_test.go
@@ -83,7 +83,9 @@
 	c, err := newCluster(dir, clusterOptions{
 		Engines: 1, Routers: 1, Domains: 1, Services: 1,
 		RouterProgram: limitedProgram(program),
-		RouterEnv:     []string{"GOMEMLIMIT=" + strconv.Itoa(hostMemory*softMemoryPercent/100)},
+		// Unread streams leave their slots of the engine after this time.
+		CallersYAML: ", write-timeout: 3s",
+		RouterEnv:   []string{"GOMEMLIMIT=" + strconv.Itoa(hostMemory*softMemoryPercent/100)},
 	})
 	if err != nil {
 		t.Fatal(err)
