--- a/core/trans/httpd/guard_test.go
+++ b/core/trans/httpd/guard_test.go
@@ -48,7 +48,7 @@
 }
 
 func bounds(bytes int64) hold.Config {
-	return hold.Config{Bytes: bytes, MaxConns: map[string]int{hold.Callers: 100}}
+	return hold.Config{Bytes: bytes, SocketBytes: 32 << 10, MaxConns: map[string]int{hold.Callers: 100}}
 }
 
 // echoLength reads the body as the router does and responds with its length.
