--- a/core/coord/hold/hold.go
+++ b/core/coord/hold/hold.go
@@ -151,6 +151,9 @@
 	byAddr  map[string]int
 	held    [kinds]int64
 	total   int64
+	// waiting holds those that wait for memory, and newest the newest of them.
+	waiting map[*Holder]struct{}
+	newest  *Holder
 	opened  uint64
 	swept   time.Duration
 }
@@ -181,7 +184,7 @@
 
 // New returns an empty Account.
 func New(cfg Config) *Account {
-	return &Account{cfg: cfg, holders: make(map[*Holder]struct{}), conns: make(map[string]int), byAddr: make(map[string]int)}
+	return &Account{cfg: cfg, holders: make(map[*Holder]struct{}), conns: make(map[string]int), byAddr: make(map[string]int), waiting: make(map[*Holder]struct{})}
 }
 
 // Victim is a holder that has to be ended.
@@ -246,6 +249,7 @@
 		return
 	}
 	delete(a.holders, h)
+	a.endWait(h)
 	if h.port != "" {
 		a.conns[h.port]--
 		key := h.port + " " + h.address
@@ -273,7 +277,7 @@
 		limit -= int64(reserveShare * float64(limit))
 	}
 	if a.total+n <= limit {
-		h.waiting = false
+		a.endWait(h)
 		a.charge(h, k, n)
 		return true, nil
 	}
@@ -327,7 +331,8 @@
 func (a *Account) SetPhase(h *Holder, p Phase, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h.phase, h.since, h.progress, h.received, h.waiting, h.unread = p, now, now, 0, false, false
+	a.endWait(h)
+	h.phase, h.since, h.progress, h.received, h.unread = p, now, now, 0, false
 }
 
 // SetServed records that the request of a connection is complete. It reports false if the
@@ -338,7 +343,8 @@
 	if h.ended {
 		return false
 	}
-	h.phase, h.since, h.progress, h.received, h.waiting = Served, now, now, 0, false
+	a.endWait(h)
+	h.phase, h.since, h.progress, h.received = Served, now, now, 0
 	return true
 }
 
@@ -384,25 +390,39 @@
 func (a *Account) Wait(h *Holder) (newest bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h.waiting = true
-	others := 0
-	for other := range a.holders {
-		if !other.waiting || other == h {
-			continue
+	if !h.waiting {
+		h.waiting = true
+		a.waiting[h] = struct{}{}
+		if a.newest == nil || h.number > a.newest.number {
+			a.newest = h
 		}
-		if other.number > h.number {
-			return false
+	}
+	return h == a.newest && len(a.waiting) > 1
+}
+
+// endWait removes a holder from those that wait.
+func (a *Account) endWait(h *Holder) {
+	if !h.waiting {
+		return
+	}
+	h.waiting = false
+	delete(a.waiting, h)
+	if h != a.newest {
+		return
+	}
+	a.newest = nil
+	for other := range a.waiting {
+		if a.newest == nil || other.number > a.newest.number {
+			a.newest = other
 		}
-		others++
 	}
-	return others > 0
 }
 
 // EndWait records that a holder no longer waits for memory.
 func (a *Account) EndWait(h *Holder, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h.waiting = false
+	a.endWait(h)
 	h.progress = now
 }
 
