--- a/suite/cluster_test.go
+++ b/suite/cluster_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,12 @@
 	EngineArgs   []string
 	ServiceArgs  []string
 	PlatformArgs []string
+	// RouterProgram is the program and its first arguments that run the routers; empty for
+	// this test binary. RouterEnv is added to its environment.
+	RouterProgram []string
+	RouterEnv     []string
+	// CallersYAML is appended to the fields of the section callers.
+	CallersYAML string
 	// RouterYAML is appended to the routers' settings.
 	RouterYAML string
 	// FleetYAML is appended to the fleet description.
@@ -56,9 +63,12 @@
 type proc struct {
 	name string
 	args []string
-	cmd  *exec.Cmd
-	done chan struct{}
-	err  error
+	// program is the program and its first arguments; empty for this test binary.
+	program []string
+	env     []string
+	cmd     *exec.Cmd
+	done    chan struct{}
+	err     error
 }
 
 // cluster is a complete system of routers, platform, engines and services, each a
@@ -245,7 +255,7 @@
 			return err
 		}
 		list.Hosts = append(list.Hosts, logapi.Host{Name: name, FailureDomain: c.domain(i), Address: c.proxyAddress(name), State: logapi.HostLive})
-		c.procs[name] = &proc{name: name, args: []string{"router", "-settings", c.settingsPath(name)}}
+		c.procs[name] = &proc{name: name, args: []string{"router", "-settings", c.settingsPath(name)}, program: c.opts.RouterProgram, env: c.opts.RouterEnv}
 	}
 	if err := c.control("platform", http.MethodPut, "/control/hosts", list, nil); err != nil {
 		return err
@@ -268,7 +278,7 @@
 		}
 	}
 	text := fmt.Sprintf(`host: {name: %s, failure-domain: %s, source: %s, advertise: "%s"}
-callers: {address: "%s"}
+callers: {address: "%s"%s}
 operators:
   address: "%s"
   keys: [{name: ana, hash: %s}, {name: luis, hash: %s}]
@@ -277,7 +287,7 @@
 stop: {notice: 300ms, linger: 2s, grace: 20s}
 log: {level: debug}
 %s
-`, name, c.domain(i), c.direct[name].Addr(), c.proxyAddress(name), c.callers[name], c.operators[name],
+`, name, c.domain(i), c.direct[name].Addr(), c.proxyAddress(name), c.callers[name], c.opts.CallersYAML, c.operators[name],
 		fleet.HashKey(operatorKey), fleet.HashKey(operatorKey+"-2"), c.direct[name], quoteAll(seeds), c.proxyAddress("platform"), c.opts.RouterYAML)
 	return os.WriteFile(c.settingsPath(name), []byte(text), 0o600)
 }
@@ -355,8 +365,12 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(exe, p.args[1:]...)
-	cmd.Env = append(os.Environ(), envProgram+"="+p.args[0])
+	line := append(slices.Clone(p.program), p.args[1:]...)
+	if len(p.program) == 0 {
+		line = append([]string{exe}, p.args[1:]...)
+	}
+	cmd := exec.Command(line[0], line[1:]...)
+	cmd.Env = append(append(os.Environ(), envProgram+"="+p.args[0]), p.env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
