--- a/core/coord/speed/exchange.go
+++ b/core/coord/speed/exchange.go
@@ -269,6 +269,11 @@
 			delete(t.known, e)
 		}
 	}
+	for e := range t.rates {
+		if !known(e) {
+			delete(t.rates, e)
+		}
+	}
 	for e, s := range t.own {
 		if faded(e, s) {
 			delete(t.own, e)
--- a/core/coord/speed/speed.go
+++ b/core/coord/speed/speed.go
@@ -24,6 +24,8 @@
 	// initialRate is the prefill rate assumed before there is any observation, in tokens
 	// per second.
 	initialRate = 80_000
+	// ownSmoothing is the weight of one observation in the rate of an engine at this host.
+	ownSmoothing = 0.1
 	// serviceSmoothing is the weight of one observation in the averages of a service.
 	serviceSmoothing = 0.02
 	// minPrefillTokens is the number of tokens below which the time to the first token
@@ -98,6 +100,8 @@
 	own      map[Incarnation]*sums
 	peers    map[string]*peer
 	services map[string]*service
+	// rates has the prefill rates of the engines that this host has observed itself.
+	rates map[Incarnation]float64
 	// known has the estimates of the listed endpoints of all services.
 	known map[Incarnation]*estimate
 	sent  map[string]*sentTo
@@ -135,6 +139,7 @@
 		own:      make(map[Incarnation]*sums),
 		peers:    make(map[string]*peer),
 		services: make(map[string]*service),
+		rates:    make(map[Incarnation]float64),
 		known:    make(map[Incarnation]*estimate),
 		sent:     make(map[string]*sentTo),
 	}
@@ -173,6 +178,11 @@
 	defer t.mu.Unlock()
 	s := t.service(o.Service)
 	s.add(rate)
+	own, known := t.rates[o.Endpoint.Incarnation]
+	if !known {
+		own = s.rate * t.estimate(o.Endpoint.Incarnation).Relative
+	}
+	t.rates[o.Endpoint.Incarnation] = own + ownSmoothing*(rate-own)
 	if !compare {
 		return
 	}
@@ -216,10 +226,15 @@
 	own.newest = now
 }
 
-// PrefillRate returns the prefill rate of an endpoint of a service in tokens per second.
+// PrefillRate returns the prefill rate of an endpoint of a service in tokens per second. What
+// this host has observed there itself goes before what it knows from others: its own times
+// include the queues and fetches of its own requests.
 func (t *Table) PrefillRate(name string, e Incarnation) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if own, ok := t.rates[e]; ok {
+		return own
+	}
 	rate := float64(initialRate)
 	if s := t.services[name]; s != nil && s.observations > 0 {
 		rate = s.rate
--- a/core/coord/speed/speed_test.go
+++ b/core/coord/speed/speed_test.go
@@ -398,3 +398,26 @@
 	is.Equal(before, after)
 	is.Equal(mostBefore, mostAfter)
 }
+
+// Without learning, a host that knew only the service's mean sent slow engines as many prompts
+// as fast ones. It goes by what it observes itself, until the engine starts again.
+func TestOwnRatesAreUsedWithoutLearning(t *testing.T) {
+	is := is.New(t)
+	table := speed.New(speed.Config{Disabled: true})
+	slow := speed.Incarnation{Endpoint: "slow", StartedMs: 1}
+	observe := func(e speed.Incarnation, perSecond float64) {
+		const tokens = 9_000
+		took := 15*time.Millisecond + time.Duration(tokens/perSecond*float64(time.Second))
+		table.ObservePrefill(speed.Sample{Service: "s", Endpoint: speed.Endpoint{Incarnation: e, Slots: 16}, InProgress: 1, Took: took}, tokens, true, 0)
+	}
+	for range 60 {
+		observe(speed.Incarnation{Endpoint: "fast"}, 70_000)
+		observe(slow, 28_000)
+	}
+	near := func(got, want float64) { is.Helper(); is.True(got > 0.9*want && got < 1.15*want) }
+	near(table.PrefillRate("s", slow), 28_000)
+	near(table.PrefillRate("s", speed.Incarnation{Endpoint: "fast"}), 70_000)
+	near(table.PrefillRate("s", speed.Incarnation{Endpoint: "slow", StartedMs: 2}), 49_000)
+	table.Retain(func(speed.Incarnation) bool { return false }, time.Second)
+	near(table.PrefillRate("s", slow), 49_000)
+}
--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -15,6 +15,7 @@
 	"cicadastand.dev/core/coord/avoid"
 	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/coord/eject"
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pace"
@@ -67,10 +68,13 @@
 	// memoryShare is the Go soft memory limit as a fraction of the platform's memory
 	// limit, which also counts bytes that are received and not yet read.
 	memoryShare = 0.6
-	// bodyShare is the fraction of the platform's memory limit for buffered request bodies.
-	bodyShare = 0.15
-	// responseShare is that for parts of responses that can't be forwarded yet.
+	// responseShare is the fraction of the platform's memory limit for parts of responses that can't be forwarded yet.
 	responseShare = 0.1
+	// clientWriteTimeout is how long a client may take no byte of its response: the default of
+	// the own mode. Endpoints end responses that stay unread after a time that they don't tell.
+	clientWriteTimeout = 10 * time.Second
+	// headTimeout limits the time to read a head; the operator allows clients 3 s.
+	headTimeout = 10 * time.Second
 	// keyMargin allows for the time from the last check of an API key until the request
 	// reaches the endpoint.
 	keyMargin = 500 * time.Millisecond
@@ -169,6 +173,7 @@
 	weight     *weight.Runner
 	keep       *keep.Keeper
 	metrics    *metrics.Set
+	guard      *httpd.Guard
 
 	callerServer    *httpd.Server
 	readinessServer *httpd.Server
@@ -205,6 +210,8 @@
 	if dial == nil {
 		dial = dialer.WithKeepalive(keepalive)
 	}
+	bounds := hold.ConfigFor(s.MemoryBytes, s.MaxFiles)
+	h.guard = httpd.NewGuard(httpd.GuardConfig{Clock: cfg.Clock, Hold: bounds, Logger: cfg.Logger, Metrics: h.metrics})
 	h.conns = conns.New(conns.Config{
 		Clock:           cfg.Clock,
 		Dial:            dial,
@@ -212,6 +219,7 @@
 		IdleTimeout:     connIdleTimeout,
 		OnceIdleTimeout: connOnceIdleTimeout,
 		MaxIdle:         maxIdleConns,
+		MaxIdleTotal:    bounds.MaxSpareConns,
 	})
 	placementUpdates := kvmap.NewOutbox()
 	h.keep = keep.New(keep.Config{
@@ -256,7 +264,7 @@
 		FailureDomain:    s.FailureDomain,
 		OldWeightsGrace:  s.Bounds.OldWeightsGrace,
 		MaxConfigAge:     s.Bounds.MaxKeyAge - keyMargin,
-		MaxBuffered:      int64(bodyShare * float64(s.MemoryBytes)),
+		Guard:            h.guard,
 		MaxHeld:          int64(responseShare * float64(s.MemoryBytes)),
 		Logger:           cfg.Logger,
 		Metrics:          h.metrics,
@@ -290,6 +298,8 @@
 		Room:             h.room,
 		Speeds:           h.speeds,
 		Lease:            h,
+		Guard:            h.guard,
+		MaxMessages:      hold.MessageBytes(s.MemoryBytes),
 		Serve:            h.relay.ServeForwarded,
 		Tolerance:        quota.Tolerance{Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack},
 		HasRegistry:      func() bool { return h.registrar.HasRead() },
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -20,6 +20,7 @@
 	"github.com/samber/lo"
 	"google.golang.org/grpc"
 
+	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
 	"cicadastand.dev/core/coord/pause"
@@ -35,6 +36,7 @@
 	"cicadastand.dev/core/state/kvmap"
 	"cicadastand.dev/core/state/mirror"
 	"cicadastand.dev/core/state/site"
+	"cicadastand.dev/core/trans/httpd"
 )
 
 // Clock provides both the wall clock and the clock that continues during suspension.
@@ -95,6 +97,10 @@
 	Tolerance quota.Tolerance
 	// HasRegistry reports whether the registry of hosts was read; nil if it always was.
 	HasRegistry func() bool
+	// Guard bounds connections and incomplete messages of other hosts, which may take
+	// MaxMessages bytes; nil for no bound.
+	Guard       *httpd.Guard
+	MaxMessages int64
 	// Interval is the time between status messages.
 	Interval time.Duration
 	Logger   hclog.Logger
@@ -187,8 +193,12 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxForwardedBytes)}
+	if s.cfg.Guard != nil {
+		listener, options = s.cfg.Guard.RPC(listener, hold.Peers, s.cfg.MaxMessages)
+	}
 	s.listener = listener
-	s.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxForwardedBytes))
+	s.server = grpc.NewServer(options...)
 	loadpb.RegisterLoadServer(s.server, &rpcServer{Service: s})
 	go s.run()
 	return nil
