--- a/core/coord/hold/hold.go
+++ b/core/coord/hold/hold.go
@@ -10,8 +10,6 @@
 package hold
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 )
@@ -187,20 +185,6 @@
 	return &Account{cfg: cfg, holders: make(map[*Holder]struct{}), conns: make(map[string]int), byAddr: make(map[string]int), waiting: make(map[*Holder]struct{})}
 }
 
-// Victim is a holder that has to be ended.
-type Victim struct {
-	Holder *Holder
-	Reason Reason
-	Phase  Phase
-	Port   string
-	Bytes  int64
-	// Pause is the time since the holder's last progress.
-	Pause time.Duration
-}
-
-// Evict ends the holder.
-func (v Victim) Evict() { v.Holder.evict(v.Reason) }
-
 // OpenConn adds a connection of a client address to a port. If the port has no connection
 // left, it returns the victim that gives way; without one the new connection is refused.
 func (a *Account) OpenConn(port, address string, now time.Duration, evict func(Reason)) (h *Holder, victims []Victim, ok bool) {
@@ -426,38 +410,6 @@
 	h.progress = now
 }
 
-// Sweep returns the holders whose bodies arrive too slowly.
-func (a *Account) Sweep(now time.Duration) []Victim {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	gap := now - a.swept
-	pause := cmp.Or(a.cfg.BodyPause, defaultBodyPause)
-	suspended := a.swept > 0 && gap > sweepGap
-	a.swept = now
-	var out []Victim
-	for h := range a.holders {
-		if suspended {
-			h.since += gap
-			h.progress += gap
-		}
-		if h.phase != Body || h.ended {
-			continue
-		}
-		if h.waiting {
-			// The client is not read meanwhile.
-			h.since += gap
-			h.progress = now
-			continue
-		}
-		age := now - h.since
-		if now-h.progress > pause || age > pause && float64(h.received) < minBodyRate*(age-pause).Seconds() {
-			h.ended = true
-			out = append(out, h.victim(Slow, now))
-		}
-	}
-	return out
-}
-
 // Held returns the bytes that are held of a kind.
 func (a *Account) Held(k Kind) int64 {
 	a.mu.Lock()
@@ -478,148 +430,3 @@
 	defer a.mu.Unlock()
 	return a.conns[port]
 }
-
-func (h *Holder) victim(r Reason, now time.Duration) Victim {
-	return Victim{Holder: h, Reason: r, Phase: h.phase, Port: h.port, Bytes: h.total, Pause: now - h.progress}
-}
-
-// pauseLimit returns how long the holder may pause while others need room, and false if it
-// never gives way.
-func (h *Holder) pauseLimit() (time.Duration, bool) {
-	switch {
-	case h.ended || h.waiting || h.port == "" || h.phase == Served && !h.unread:
-		return 0, false
-	case h.phase == Served:
-		return unreadTime, true
-	case h.phase == Silent:
-		return silentTime, true
-	case h.phase == Idle:
-		return idleTime, true
-	default:
-		return stallTime, true
-	}
-}
-
-// stalledConn returns the connection of a port with the longest time beyond its limit.
-func (a *Account) stalledConn(port string, now time.Duration) (Victim, bool) {
-	var found *Holder
-	var most time.Duration
-	for h := range a.holders {
-		limit, ok := h.pauseLimit()
-		if over := now - h.progress - limit; ok && h.port == port && over >= 0 && (found == nil || over > most) {
-			found, most = h, over
-		}
-	}
-	if found == nil {
-		found = a.longestIdle(port, now)
-	}
-	if found == nil {
-		return Victim{}, false
-	}
-	return found.victim(Stalled, now), true
-}
-
-// longestIdle returns the connection of a port that is between requests for the longest time;
-// nil if none is for leastIdleTime.
-func (a *Account) longestIdle(port string, now time.Duration) *Holder {
-	var found *Holder
-	for h := range a.holders {
-		if h.port == port && h.phase == Idle && !h.ended && now-h.progress >= leastIdleTime && (found == nil || h.progress < found.progress) {
-			found = h
-		}
-	}
-	return found
-}
-
-// stalledHolders returns the largest holders, other than one, that made no progress, until they
-// hold n bytes together. Of equal ones the oldest comes first.
-func (a *Account) stalledHolders(except *Holder, n int64, now time.Duration) []Victim {
-	var stalled []*Holder
-	for h := range a.holders {
-		limit, ok := h.pauseLimit()
-		if ok && h != except && h.phase != Idle && h.phase != Silent && now-h.progress >= limit {
-			stalled = append(stalled, h)
-		}
-	}
-	slices.SortFunc(stalled, func(x, y *Holder) int {
-		if x.total != y.total {
-			return int(y.total - x.total)
-		}
-		return int(x.number) - int(y.number)
-	})
-	var out []Victim
-	for _, h := range stalled {
-		if n <= 0 {
-			break
-		}
-		h.ended = true
-		n -= h.total
-		out = append(out, h.victim(Stalled, now))
-	}
-	return out
-}
-
-const (
-	// clientShare is the part of a host's memory for clients. Go's soft limit is 0.6 of the
-	// memory, which also covers the program's own state and garbage that is not collected.
-	clientShare = 0.3
-	// messageShare is the part of it for incomplete messages of other hosts.
-	messageShare = 0.08
-	// keptFiles is the number of descriptors that are kept for files.
-	keptFiles = 200
-	// The ports' shares of the descriptors, without those for files. A request also needs a
-	// connection to an endpoint, so what is left must be as much as that of the callers.
-	callerFiles = 0.35
-	peerFiles   = 0.1
-	otherFiles  = 0.03
-	// spareFiles is the share of connections to endpoints that are not in use.
-	spareFiles = 0.1
-	// The ports' shares of the memory, by ConnBytes, and the least bounds: each host of a
-	// failure domain, probes and metrics must find a connection.
-	callerMemory = 0.1
-	peerMemory   = 0.03
-	otherMemory  = 0.01
-	minCallers   = 32
-	minPeers     = 32
-	minOthers    = 16
-	// socketShare is the part of the memory for what callers sent and this host has not read,
-	// or what they have not taken of their responses, if all of them do that. A buffer has at
-	// least minSocketBytes: one stream of the usual length, or 90 Mbit/s at the delay between
-	// failure domains.
-	socketShare    = 0.2
-	minSocketBytes = 32 << 10
-)
-
-// The names of the ports.
-const (
-	Callers   = "callers"
-	Peers     = "peers"
-	Operators = "operators"
-	Readiness = "readiness"
-	Metrics   = "metrics"
-)
-
-// ConfigFor returns the bounds for a host with an amount of memory and a limit of descriptors.
-func ConfigFor(memory int64, files int) Config {
-	left := float64(max(files-keptFiles, files/2))
-	bound := func(ofFiles, ofMemory float64, least int) int {
-		return max(least, int(min(ofFiles*left, ofMemory*float64(memory)/ConnBytes)))
-	}
-	others := bound(otherFiles, otherMemory, minOthers)
-	callers := bound(callerFiles, callerMemory, minCallers)
-	return Config{
-		SocketBytes:   max(minSocketBytes, int(socketShare*float64(memory))/callers),
-		Bytes:         int64(clientShare * float64(memory)),
-		MaxSpareConns: int(spareFiles * left),
-		MaxConns: map[string]int{
-			Callers:   callers,
-			Peers:     bound(peerFiles, peerMemory, minPeers),
-			Operators: others,
-			Readiness: others,
-			Metrics:   others,
-		},
-	}
-}
-
-// MessageBytes returns the memory for incomplete messages of other hosts.
-func MessageBytes(memory int64) int64 { return int64(messageShare * float64(memory)) }
--- a/core/coord/place/memory_test.go
+++ b/core/coord/place/memory_test.go
@@ -72,6 +72,15 @@
 	is.True(!place.IsSmall(12_000, place.Engine{Slots: 16, Capacity: capacity}))
 }
 
+// Of many requests at an engine only as many as it has slots hold memory. If all counted, a queue
+// of small ones would keep a request away from an engine that has room.
+func TestWaitingRequestsHoldNoMemory(t *testing.T) {
+	is := is.New(t)
+	_, full := decide(1_000, holding("e", 16, 16, 9_000))
+	_, queued := decide(1_000, holding("e", 16, 32, 9_000))
+	is.Equal(full.Lacking, queued.Lacking)
+}
+
 // Peers of the previous release send no memory.
 func TestRequestsOfUnknownSizeCountWithTheMean(t *testing.T) {
 	is := is.New(t)
