Charge each arrival at an endpoint to the retry budget

Cause: a request that could not be sent to one endpoint was retried without a charge from then on, also after other endpoints had received and rejected it; a host that had reached an engine for another host reported that it had not, so that a further one sent the request again; and both hosts counted it as a request of theirs. Change: an arrival ends the free retries and makes the answer of a forwarded request final; forwarded requests are counted by the host that received them from the client. Evidence: TestRequestThatHasArrivedIsNotRetriedWithoutBudget fails without the change (mutant caught).

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -50,6 +50,9 @@
 	ctx, stop := j.untilCutOff(ctx)
 	defer stop()
 	resp, err := r.cfg.Conns.Send(ctx, conns.Target{Incarnation: c.endpoint.ID, Address: c.endpoint.Address}, j.request(c, timeout), j.isResponseTo)
+	if !conns.IsErrUnsent(err) {
+		j.recordArrival()
+	}
 	if err != nil {
 		return j.sendFailed(ctx, c, err)
 	}
@@ -60,6 +63,12 @@
 	return j.receive(ctx, c, resp, decoded, begun, tracked, sent)
 }
 
+// recordArrival records that an endpoint has received the request, or may have.
+func (j *job) recordArrival() {
+	j.arrivals++
+	j.unsent = 0
+}
+
 // maxChoices is how often an endpoint is chosen while other requests take the place at the
 // chosen ones.
 const maxChoices = 3
@@ -244,7 +253,6 @@
 		return true, j.rejectBusy("endpoint %s did not run the request: status %d", c.endpoint.ID, resp.Status)
 	}
 	begun.Served()
-	j.unsent = 0
 	if j.r.cfg.Ejection.RecordSuccess(c.endpoint.ID) {
 		j.r.cfg.Logger.Info("endpoint responds again, ejection ended", "id", j.params.ID, "endpoint", c.endpoint.ID)
 	}
--- a/router/relay/forward_test.go
+++ b/router/relay/forward_test.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"cicadastand.dev/core/coord/budget"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/site"
@@ -115,3 +116,22 @@
 	_, fault = j.forward(context.Background())
 	is.Equal(fault.status, http.StatusBadGateway)
 }
+
+// Hosts without a path to the endpoints pass requests on while engines crash and reject many.
+// A request that has reached an engine was retried without a charge to the retry budget, here
+// and at yet another host, if some endpoint had not been reached before.
+func TestRequestThatHasArrivedIsNotRetriedWithoutBudget(t *testing.T) {
+	is := is.New(t)
+	j, client := newForwarded(otherHost{})
+	j.r.cfg.Budget = budget.New(budget.Config{Window: 10 * time.Second})
+	j.r.ending = context.Background()
+	j.forwardedBy, j.route.MaxAttempts, j.sends = "other", 4, 1
+	j.unsent = 1
+	is.True(j.mayRetry()) // nothing has arrived
+	j.recordArrival()
+	is.True(!j.mayRetry())
+	j.unsent++
+	j.fail(context.Background(), newRejection(http.StatusServiceUnavailable, 0, "busy"))
+	is.True(!j.notReached) // no other host sends it again
+	is.Equal(client.Code, http.StatusServiceUnavailable)
+}
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -69,6 +69,9 @@
 	via         string
 	// unsent counts the endpoints to which the request could not be sent since it last was.
 	unsent int
+	// arrivals counts the endpoints that have received the request from this host, including
+	// those that rejected it without running it.
+	arrivals int
 	// notReached is set if a forwarded request has not run, so that yet another host may
 	// serve it.
 	notReached bool
@@ -326,7 +329,10 @@
 // run sends the request until there is a response or it can't be retried.
 func (j *job) run() {
 	now := j.r.cfg.Clock.Boot()
-	j.r.cfg.Budget.RecordRequest(j.serviceName, now)
+	if j.forwardedBy == "" {
+		// The host that received the request from its client has counted it.
+		j.r.cfg.Budget.RecordRequest(j.serviceName, now)
+	}
 	j.r.cfg.Loads.RecordRequest(j.serviceName, now)
 	if j.isModel() {
 		j.r.prompts.observe(j.serviceName, j.params.PromptTokens)
@@ -370,7 +376,7 @@
 // fail ends a request without a successful response.
 func (j *job) fail(ctx context.Context, fault *rejection) {
 	switch {
-	case j.forwardedBy != "" && j.unsent > 0 && j.attempts == j.attemptsBefore && !j.started && j.lastResponse == nil:
+	case j.forwardedBy != "" && j.unsent > 0 && j.arrivals == 0 && !j.started && j.lastResponse == nil:
 		j.outcome, j.reason, j.notReached = "not-reached", fault.reason, true
 	case j.req.Context().Err() != nil:
 		j.outcome, j.reason = "client-left", fault.reason
