Log the size of a configuration and how much of it had arrived

- configuration updated: bytes, who passed it on, age of the read
- status message to peer failed: time, bytes sent and received meanwhile
- cicada_config_bytes, cicada_share_records_sent_total, _record_bytes_sent_total

No logic is changed.

--- a/router/share/peers.go
+++ b/router/share/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -46,6 +47,22 @@
 	conn    *grpc.ClientConn
 	client  loadpb.LoadClient
 	sending bool
+	// received counts the bytes that the host has sent to this one. They tell how much of a
+	// reply had arrived when it was given up.
+	received atomic.Int64
+}
+
+// countedConn counts the bytes that it receives.
+type countedConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(to []byte) (int, error) {
+	n, err := c.Conn.Read(to)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 func newPeers() *peers { return &peers{byName: make(map[string]*peer)} }
@@ -81,9 +98,9 @@
 	return entry.client, true, nil
 }
 
-// beginSend returns a client for sending one message to a host, or nil while the
+// beginSend returns the connection for sending one message to a host, or nil while the
 // previous message is in flight. The caller calls done when the message is complete.
-func (p *peers) beginSend(to feed.Host) (client loadpb.LoadClient, done func(), err error) {
+func (p *peers) beginSend(to feed.Host) (out *peer, done func(), err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	entry, err := p.connect(to)
@@ -94,7 +111,7 @@
 		return nil, nil, nil
 	}
 	entry.sending = true
-	return entry.client, func() {
+	return entry, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		entry.sending = false
@@ -124,8 +141,15 @@
 func dial(to feed.Host) (*peer, error) {
 	// A connection may fall silent without a reset.
 	open := dialer.WithKeepalive(peerKeepalive)
+	out := &peer{host: to}
 	conn, err := grpc.NewClient("passthrough:///"+to.Address,
-		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return open(ctx, "tcp", address) }),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := open(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: c, received: &out.received}, nil
+		}),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: minReconnectDelay, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnectDelay},
@@ -134,7 +158,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", to.Address, err)
 	}
-	return &peer{host: to, conn: conn, client: loadpb.NewLoadClient(conn)}, nil
+	out.conn, out.client = conn, loadpb.NewLoadClient(conn)
+	return out, nil
 }
 
 func (p *peers) close() error {
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -39,7 +39,7 @@
 
 func (emptyStore) Records() []feed.Record { return nil }
 
-func (emptyStore) ReceiveRecords([]feed.Record, feed.ReadMark) {}
+func (emptyStore) ReceiveRecords([]feed.Record, feed.ReadMark, string) {}
 
 func (emptyStore) ReceivePublished(feed.ReadMark) {}
 
--- a/router/share/reads.go
+++ b/router/share/reads.go
@@ -9,13 +9,13 @@
 	"cicadastand.dev/core/proto/loadpb"
 )
 
-// receiveReads applies the reads of the store in the reply to a status message that was
-// sent at sent.
-func (s *Service) receiveReads(in *loadpb.Heard, sent time.Duration) {
+// receiveReads applies the reads of the store in the reply of a host to a status message
+// that was sent at sent.
+func (s *Service) receiveReads(from string, in *loadpb.Heard, sent time.Duration) {
 	if m := in.GetPublished(); m.GetKnown() {
 		read := feed.ReadMark{Era: m.GetEra(), Next: m.GetNext(), Started: sent - readAge(m)}
 		if records := in.GetRecords(); len(records) > 0 {
-			s.cfg.Store.ReceiveRecords(lo.Map(records, recordFrom), read)
+			s.cfg.Store.ReceiveRecords(lo.Map(records, recordFrom), read, from)
 		}
 		s.cfg.Store.ReceivePublished(read)
 	}
@@ -38,6 +38,8 @@
 		theirs := feed.ReadMark{Era: in.GetPublishedEra(), Next: in.GetPublishedNext()}
 		if theirs.Precedes(read) || s.configVersion() > in.GetConfigVersion() {
 			out.Records = lo.Map(s.cfg.Store.Records(), recordMessage)
+			s.recordsSent.Inc()
+			s.recordBytesSent.Add(lo.SumBy(out.Records, func(r *loadpb.Record) int { return len(r.GetValue()) }))
 		}
 	}
 	if list, fingerprint, read, ok := s.cfg.Store.Endpoints(); ok && include(read) {
--- a/router/share/send.go
+++ b/router/share/send.go
@@ -3,21 +3,23 @@
 import (
 	"context"
 
+	"google.golang.org/protobuf/proto"
+
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/proto/loadpb"
 )
 
 // send starts sending a message, unless the previous one to that host is in flight.
 func (s *Service) send(ctx context.Context, to feed.Host, status *loadpb.Status) {
-	client, done, err := s.peers.beginSend(to)
+	peer, done, err := s.peers.beginSend(to)
 	if err != nil {
 		s.cfg.Logger.Warn("can't connect to peer", "peer", to.Name, "error", err)
 		return
 	}
-	if client == nil {
+	if peer == nil {
 		return
 	}
-	m := &statusMessage{s: s, to: to, client: client, done: done, status: status}
+	m := &statusMessage{s: s, to: to, peer: peer, done: done, status: status}
 	go m.run(ctx)
 }
 
@@ -25,7 +27,7 @@
 type statusMessage struct {
 	s      *Service
 	to     feed.Host
-	client loadpb.LoadClient
+	peer   *peer
 	done   func()
 	status *loadpb.Status
 }
@@ -33,14 +35,15 @@
 func (m *statusMessage) run(ctx context.Context) {
 	defer m.done()
 	s := m.s
-	sent := s.cfg.Clock.Boot()
+	sent, before := s.cfg.Clock.Boot(), m.peer.received.Load()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := m.client.Tell(ctx, m.status)
+	reply, err := m.peer.client.Tell(ctx, m.status)
 	if err != nil {
 		s.failures.Inc()
 		s.cfg.Hubs.MarkFailed(m.to.Name, s.cfg.Clock.Boot())
-		s.cfg.Logger.Info("status message to peer failed", "hub", m.to.Name, "error", err)
+		s.cfg.Logger.Info("status message to peer failed", "hub", m.to.Name, "error", err,
+			"ms", (s.cfg.Clock.Boot() - sent).Milliseconds(), "sent-bytes", proto.Size(m.status), "received-bytes", m.peer.received.Load()-before)
 		return
 	}
 	s.cfg.Hubs.MarkReachable(m.to.Name)
@@ -51,5 +54,5 @@
 	} else {
 		s.pool.Delivered(m.to.FailureDomain, sent)
 	}
-	s.receiveReads(reply, sent)
+	s.receiveReads(m.to.Name, reply, sent)
 }
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -57,8 +57,8 @@
 	Endpoints() (list map[string]*site.Endpoint, fingerprint uint64, read feed.ReadMark, ok bool)
 	// Records returns the operator's newest record of each key.
 	Records() []feed.Record
-	// ReceiveRecords applies the newest records that another host has.
-	ReceiveRecords(records []feed.Record, read feed.ReadMark)
+	// ReceiveRecords applies the newest records that the host from has.
+	ReceiveRecords(records []feed.Record, read feed.ReadMark, from string)
 	// ReceivePublished applies the result of a read by another host.
 	ReceivePublished(read feed.ReadMark)
 	// ReceiveEndpoints applies the endpoint list of another host; list is nil if it
@@ -158,6 +158,10 @@
 
 	failures *metrics.Counter
 	unplaced *metrics.Counter
+	// recordsSent counts the replies with the operator's records, and recordBytesSent the
+	// bytes of these records.
+	recordsSent     *metrics.Counter
+	recordBytesSent *metrics.Counter
 	quota    quotaCounters
 }
 
@@ -177,6 +181,8 @@
 		lastPeerContact:   -2 * hubRoleTimeout,
 		failures:          cfg.Metrics.NewCounter("cicada_share_failures_total"),
 		unplaced:          cfg.Metrics.NewCounter("cicada_share_unplaced_total"),
+		recordsSent:       cfg.Metrics.NewCounter("cicada_share_records_sent_total"),
+		recordBytesSent:   cfg.Metrics.NewCounter("cicada_share_record_bytes_sent_total"),
 		answeredAt:        -hubRoleTimeout,
 	}
 	s.initQuota()
--- a/router/watch/published.go
+++ b/router/watch/published.go
@@ -67,28 +67,34 @@
 			readNewest = true
 			continue
 		}
-		if !w.applyPublished(p, started, true) {
+		if !w.applyPublished(p, started, ownRead) {
 			// Sleep fails only if ctx has ended, which the loop checks as well.
 			_ = clock.Sleep(ctx, w.cfg.Clock, retryPause)
 		}
 	}
 }
 
-// applyPublished applies a read of the operator's records, by this host or another one. It
-// reports false if the read ended before the known one. The configuration and the versions
+// ownRead is the source of what this host has read from the store itself.
+const ownRead = "store"
+
+// applyPublished applies a read of the operator's records, by this host or by the host from.
+// It reports false if the read ended before the known one. The configuration and the versions
 // of weights never go back.
-func (w *Watcher) applyPublished(p feed.Published, started time.Duration, own bool) bool {
+func (w *Watcher) applyPublished(p feed.Published, started time.Duration, from string) bool {
 	for _, fault := range p.Faults {
 		w.cfg.Logger.Warn("ignored invalid record of the operator", "error", fault)
 	}
 	if p.Config != nil && w.cfg.Mirror.SetConfig(p.Config) {
-		w.cfg.Logger.Info("configuration updated", "version", p.Config.Version, "era", p.Era, "next", p.Next, "cache-scope", p.Config.CacheScope(nil))
+		size := lo.SumBy(p.Records, func(r feed.Record) int { return len(r.Value) })
+		w.configBytes.Set(float64(size))
+		w.cfg.Logger.Info("configuration updated", "version", p.Config.Version, "era", p.Era, "next", p.Next, "cache-scope", p.Config.CacheScope(nil),
+			"bytes", size, "from", from, "read-age-ms", (w.cfg.Clock.Boot() - started).Milliseconds())
 	}
 	w.applyWeights(p)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	known := w.published
-	read := feed.ReadMark{Era: p.Era, Next: p.Next, Started: started, Own: own}
+	read := feed.ReadMark{Era: p.Era, Next: p.Next, Started: started, Own: from == ownRead}
 	if p.Era == 0 {
 		read.Era = known.Era
 	}
@@ -178,18 +184,18 @@
 
 // ReceiveRecords applies the operator's newest records, which another host has. They
 // include the records that it has read up to its mark.
-func (w *Watcher) ReceiveRecords(records []feed.Record, read feed.ReadMark) {
+func (w *Watcher) ReceiveRecords(records []feed.Record, read feed.ReadMark, from string) {
 	p := w.cfg.Store.Decode(records)
 	p.Era, p.Next = read.Era, read.Next
 	if m := w.publishedMark(); !m.known || m.Precedes(read) {
-		w.applyPublished(p, read.Started, false)
+		w.applyPublished(p, read.Started, from)
 		return
 	}
 	// The other host may still have a configuration that a restored store lacks.
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if p.Config != nil && w.cfg.Mirror.SetConfig(p.Config) {
-		w.cfg.Logger.Info("configuration received that the store lacks", "version", p.Config.Version)
+		w.cfg.Logger.Info("configuration received that the store lacks", "version", p.Config.Version, "from", from)
 		w.outdated = true
 		for _, r := range records {
 			w.records[r.Key] = r.Value
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -103,6 +103,8 @@
 	cfg      Config
 	failures *metrics.Counter
 	reads    *metrics.Counter
+	// configBytes is the size of the records with the newest configuration.
+	configBytes *metrics.Gauge
 	// newRecords is signalled when another host has read newer records of the
 	// operator than this host has.
 	newRecords chan struct{}
@@ -143,6 +145,7 @@
 		cfg:         cfg,
 		failures:    cfg.Metrics.NewCounter("cicada_store_read_failures_total"),
 		reads:       cfg.Metrics.NewCounter("cicada_store_reads_total"),
+		configBytes: cfg.Metrics.NewGauge("cicada_config_bytes", nil),
 		newRecords:  make(chan struct{}, 1),
 		eras:        make(chan struct{}, 1),
 		records:     make(map[string][]byte),
--- a/router/watch/watch_test.go
+++ b/router/watch/watch_test.go
@@ -59,9 +59,9 @@
 func TestRejectedHostReceivesConfigurationFromHub(t *testing.T) {
 	is := is.New(t)
 	w, local := watcher(t)
-	w.ReceiveRecords(record(1), feed.ReadMark{Next: 5, Started: 10 * time.Second})
+	w.ReceiveRecords(record(1), feed.ReadMark{Next: 5, Started: 10 * time.Second}, "hub")
 	is.Equal(local.View().Config.Version, int64(1))
-	w.ReceiveRecords(record(3), feed.ReadMark{Next: 7, Started: 12 * time.Second})
+	w.ReceiveRecords(record(3), feed.ReadMark{Next: 7, Started: 12 * time.Second}, "hub")
 	is.Equal(local.View().Config.Version, int64(3))
 	read, ok := w.Published()
 	is.True(ok)
@@ -75,16 +75,16 @@
 func TestOlderRecordsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	w, local := watcher(t)
-	w.ReceiveRecords(record(3), feed.ReadMark{Next: 7, Started: 10 * time.Second})
-	w.ReceiveRecords(record(2), feed.ReadMark{Next: 6, Started: 20 * time.Second}) // from a hub without the newest record
+	w.ReceiveRecords(record(3), feed.ReadMark{Next: 7, Started: 10 * time.Second}, "hub")
+	w.ReceiveRecords(record(2), feed.ReadMark{Next: 6, Started: 20 * time.Second}, "hub") // from a hub without the newest record
 	is.Equal(local.View().Config.Version, int64(3))
 	want := feed.ReadMark{Next: 7, Started: 10 * time.Second}
 	read, _ := w.Published()
 	is.Equal(read, want)
-	w.ReceiveRecords(record(3), feed.ReadMark{Next: 7, Started: 5 * time.Second}) // same offset, older read
+	w.ReceiveRecords(record(3), feed.ReadMark{Next: 7, Started: 5 * time.Second}, "hub") // same offset, older read
 	read, _ = w.Published()
 	is.Equal(read, want)
-	w.applyPublished(feed.Published{Next: 6}, 20*time.Second, true) // a read of this host that started before the newest record
+	w.applyPublished(feed.Published{Next: 6}, 20*time.Second, ownRead) // a read of this host that started before the newest record
 	read, _ = w.Published()
 	is.Equal(read, want)
 }
@@ -96,9 +96,9 @@
 	w, _ := watcher(t)
 	w.cfg.TakeoverAfter, w.cfg.DirectAfter = 1250*time.Millisecond, 1500*time.Millisecond
 	now := w.cfg.Clock.Boot()
-	w.ReceiveRecords(record(1), feed.ReadMark{Next: 5, Started: now - 2*time.Second})
+	w.ReceiveRecords(record(1), feed.ReadMark{Next: 5, Started: now - 2*time.Second}, "hub")
 	is.True(w.shouldRead(w.publishedMark(), Hub, 0))
-	w.applyPublished(feed.Published{Next: 5}, now, true)
+	w.applyPublished(feed.Published{Next: 5}, now, ownRead)
 	is.True(w.shouldRead(w.publishedMark(), Hub, 0))                       // no other host reads for it
 	is.True(!w.shouldRead(w.publishedMark(), Hub, time.Minute))            // but not more often than the reader would
 	is.True(!w.shouldRead(w.publishedMark(), Member, 0))                   // its own read is recent
@@ -113,7 +113,7 @@
 	is := is.New(t)
 	w, _ := watcher(t)
 	now := w.cfg.Clock.Boot()
-	w.applyPublished(feed.Published{Next: 5}, now, true)
+	w.applyPublished(feed.Published{Next: 5}, now, ownRead)
 	w.applyEntries(feed.Entries{Complete: true, Endpoints: endpoints("a"), Next: 3}, now)
 	published, _ := w.Published()
 	_, _, entries, _ := w.Endpoints()
@@ -165,7 +165,7 @@
 	published := func(version, era, next int64, started time.Duration) feed.Published {
 		p := w.cfg.Store.Decode(record(int(version)))
 		p.Era, p.Next = era, next
-		is.True(w.applyPublished(p, started, true))
+		is.True(w.applyPublished(p, started, ownRead))
 		return p
 	}
 	published(3, 1, 7, 10*time.Second)
@@ -190,8 +190,8 @@
 	is := is.New(t)
 	w, local := watcher(t)
 	mark := feed.ReadMark{Era: 2, Next: 4, Started: 10 * time.Second}
-	w.ReceiveRecords(record(2), mark)
-	w.ReceiveRecords(record(3), mark)
+	w.ReceiveRecords(record(2), mark, "hub")
+	w.ReceiveRecords(record(3), mark, "hub")
 	is.Equal(local.View().Config.Version, int64(3))
 	is.Equal(len(w.Records()[0].Value), 3)
 }
