--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -77,6 +77,11 @@
 }
 
 func startHostWithSpeeds(t *testing.T, hosts []feed.Host, at int, set *metrics.Set, speeds *speed.Table) *share.Service {
+	t.Helper()
+	return startHostWith(t, hosts, at, set, speeds, emptyStore{})
+}
+
+func startHostWith(t *testing.T, hosts []feed.Host, at int, set *metrics.Set, speeds *speed.Table, store share.StoreState) *share.Service {
 	t.Helper()
 	self := hosts[at]
 	table := hubs.New(hubs.Config{Self: self, RetryAfter: time.Second})
@@ -84,7 +89,7 @@
 		table.Add(h)
 	}
 	s := share.New(share.Config{
-		Clock: clock.Real{}, Self: self, Hubs: table, Store: emptyStore{}, Mirror: limitedMirror(t), Loads: load.New(time.Second),
+		Clock: clock.Real{}, Self: self, Hubs: table, Store: store, Mirror: limitedMirror(t), Loads: load.New(time.Second),
 		Poison: poison.New(poison.Config{Retention: time.Second}), Taint: taint.New(taint.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(), Room: room.New(), Speeds: speeds, Lease: noLease{}, Serve: serveTeapot,
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: set,
 	})
