Pass large records on in segments that hosts give to each other

What callers saw: requests were handled by a configuration that had been replaced more than 3 s before, then rejected with 503 by hosts whose configuration was too old; others were refused as loads and grants got old. Cause: a hub put the whole configuration into its reply to a status message, once for each host of its domain, with 400 ms for each; what had arrived by then was thrown away. 677 KB take 540 ms on a link of 10 Mbit/s, and thirty hosts share the link of the hub.

Records are split where their content says so, and compressed. A hub offers them in its reply; the host asks for their outline and fetches the segments that it lacks in batches of 16 KiB, from the hub and from other hosts that have some. What has arrived is kept if the source, the hub or the version changes. A host gives 0.6 of its link to segments. Hosts of the previous release get records up to 64 KiB in a reply, and read the store for larger ones; a host with large records asks no old hub for them.

--- a/router/share/fetch_test.go
+++ b/router/share/fetch_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -13,9 +14,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"cicadastand.dev/core/coord/speed"
 	"cicadastand.dev/core/proto/feed"
+	"cicadastand.dev/core/proto/loadpb"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/router/share"
 )
@@ -57,6 +61,12 @@
 	}
 }
 
+func (s *heldStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *heldStore) has(want []feed.Record) bool {
 	got := s.Records()
 	return len(got) == len(want) && len(got) > 0 && bytes.Equal(got[0].Value, want[0].Value)
@@ -150,5 +160,123 @@
 		member.Announce(context.Background())
 		time.Sleep(60 * time.Millisecond) // the interval of status messages
 	}
-	is.Equal(received.reads, 0)
+	is.Equal(received.readCount(), 0)
+}
+
+// tell sends a status to a host and returns the reply.
+func tell(t *testing.T, address string, status *loadpb.Status) *loadpb.Heard {
+	t.Helper()
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	out, err := loadpb.NewLoadClient(conn).Tell(context.Background(), status)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// A host of the previous release knows no segments. It gets small records, and reads the store
+// for large ones, which would not arrive in a status message.
+func TestHubServesHostsOfThePreviousRelease(t *testing.T) {
+	is := is.New(t)
+	hosts := domainHosts(t)
+	store := &heldStore{mark: feed.ReadMark{Next: 5, Started: clock.Real{}.Boot()}, records: []feed.Record{{Key: "config", Value: make([]byte, 20<<10)}}}
+	startHostWithStore(t, hosts, 0, metrics.NewSet(), store)
+	old, current := &loadpb.Status{Host: "h1", Domain: "d"}, &loadpb.Status{Host: "h2", Domain: "d", Fetches: true}
+	is.Equal(len(tell(t, hosts[0].Address, old).GetRecords()), 1)
+	reply := tell(t, hosts[0].Address, current)
+	is.Equal(len(reply.GetRecords()), 0)
+	is.True(reply.GetOffer() != nil)
+	store.ReceiveRecords(largeConfig(1), feed.ReadMark{Next: 6, Started: clock.Real{}.Boot()}, "")
+	reply = tell(t, hosts[0].Address, old)
+	is.Equal(len(reply.GetRecords()), 0)
+	is.True(reply.GetOffer() == nil)
+	is.Equal(reply.GetPublished().GetNext(), int64(6)) // tells the host to read
+}
+
+// oldHub is a hub of the previous release.
+type oldHub struct {
+	loadpb.UnimplementedLoadServer
+	statuses chan *loadpb.Status
+}
+
+// Tell implements loadpb.LoadServer.
+func (h oldHub) Tell(_ context.Context, in *loadpb.Status) (*loadpb.Heard, error) {
+	select {
+	case h.statuses <- in:
+	default:
+	}
+	return &loadpb.Heard{Published: &loadpb.Mark{Known: true, Next: 6}}, nil
+}
+
+// A hub of the previous release would put 750 KB into each reply while a host lacks them.
+func TestHostWithLargeRecordsReadsTheStoreBesideAnOldHub(t *testing.T) {
+	is := is.New(t)
+	hosts := domainHosts(t)
+	listener, err := net.Listen("tcp", hosts[0].Address)
+	is.NoErr(err)
+	hub := oldHub{statuses: make(chan *loadpb.Status, 1)}
+	server := grpc.NewServer()
+	loadpb.RegisterLoadServer(server, hub)
+	go serve{server, listener}.run()
+	t.Cleanup(server.Stop)
+	store := &heldStore{mark: feed.ReadMark{Next: 5}, records: largeConfig(1)}
+	member := startHostWithStore(t, hosts, 1, metrics.NewSet(), store)
+	for until := time.Now().Add(10 * time.Second); store.readCount() == 0; {
+		is.True(time.Now().Before(until)) // the host reads
+		member.Announce(context.Background())
+		time.Sleep(20 * time.Millisecond) // the interval of status messages
+	}
+	is.Equal((<-hub.statuses).GetConfigVersion(), int64(math.MaxInt64))
+}
+
+type serve struct {
+	server   *grpc.Server
+	listener net.Listener
+}
+
+// run serves until the server is stopped.
+func (s serve) run() { _ = s.server.Serve(s.listener) }
+
+// The hub is lost when a part of the records has arrived. The next hub must not send it again.
+func TestTransferThatBreaksOffLosesNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	hosts := domainHosts(t)
+	hosts[1].LinkMbps = 100 // the next hub
+	mark := feed.ReadMark{Next: 5, Started: clock.Real{}.Boot(), Own: true}
+	records := randomConfig()
+	sets := []*metrics.Set{metrics.NewSet(), metrics.NewSet()}
+	first := startHostWithStore(t, hosts, 0, sets[0], &heldStore{mark: mark, records: records})
+	startHostWithStore(t, hosts, 1, sets[1], &heldStore{mark: mark, records: records})
+	hosts[0].Address = startSlowLink(t, hosts[0].Address)
+	received := &heldStore{}
+	member := startHostWithStore(t, hosts, 2, metrics.NewSet(), received)
+	sent := func(at int) int {
+		return int(sets[at].GetOrCreateCounter("cicada_share_record_bytes_sent_total").Get())
+	}
+	size := len(records[0].Value)
+	for until := time.Now().Add(20 * time.Second); !received.has(records); {
+		is.True(time.Now().Before(until)) // the records arrive
+		if sent(0) > size/2 {
+			first.Close()
+		}
+		member.Announce(ctx)
+		time.Sleep(20 * time.Millisecond) // the interval of status messages
+	}
+	is.True(sent(0) > size/2)
+	is.True(sent(1) > 0 && sent(1) < size*6/10) // what the first hub has sent and a few batches on their way
+}
+
+// randomConfig returns records of 1 MB that can't be compressed.
+func randomConfig() []feed.Record {
+	rng := rand.New(rand.NewPCG(1, 1))
+	value := make([]byte, 1<<20)
+	for i := range value {
+		value[i] = byte(rng.Uint32())
+	}
+	return []feed.Record{{Key: "config", Value: value}}
 }
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -43,6 +43,10 @@
 
 func (emptyStore) ReceivePublished(feed.ReadMark) {}
 
+func (emptyStore) ReceiveOffer(feed.ReadMark) {}
+
+func (emptyStore) RecordsArrive(time.Duration) {}
+
 func (emptyStore) ReceiveEndpoints(map[string]*site.Endpoint, feed.ReadMark) {}
 
 // domainHosts returns 14 hosts of one failure domain. The first one has the fastest
--- a/router/share/reads.go
+++ b/router/share/reads.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"context"
 	"time"
 
 	"github.com/samber/lo"
@@ -11,13 +12,18 @@
 
 // receiveReads applies the reads of the store in the reply of a host to a status message
 // that was sent at sent.
-func (s *Service) receiveReads(from string, in *loadpb.Heard, sent time.Duration) {
+func (s *Service) receiveReads(ctx context.Context, from feed.Host, in *loadpb.Heard, sent time.Duration) {
 	if m := in.GetPublished(); m.GetKnown() {
 		read := feed.ReadMark{Era: m.GetEra(), Next: m.GetNext(), Started: sent - readAge(m)}
 		if records := in.GetRecords(); len(records) > 0 {
-			s.cfg.Store.ReceiveRecords(lo.Map(records, recordFrom), read, from)
+			s.cfg.Store.ReceiveRecords(lo.Map(records, recordFrom), read, from.Name)
+		}
+		if offer := in.GetOffer(); offer != nil && s.lacks(read, in.GetConfigVersion()) {
+			s.cfg.Store.ReceiveOffer(read)
+			s.receiveOffer(ctx, from, read, offer)
+		} else {
+			s.cfg.Store.ReceivePublished(read)
 		}
-		s.cfg.Store.ReceivePublished(read)
 	}
 	if m := in.GetRosterRead(); m.GetKnown() {
 		s.cfg.Store.ReceiveEndpoints(endpointsFrom(in.GetEndpoints()), feed.ReadMark{Era: m.GetEra(), Started: sent - readAge(m)})
@@ -29,18 +35,14 @@
 // however late the reply arrives.
 func readAge(m *loadpb.Mark) time.Duration { return time.Duration(m.GetAgeMs()) * time.Millisecond }
 
-// addReads adds the reads of the store that include selects to a reply, with the records
-// and the endpoint list if the sender of the status lacks them.
+// addReads adds the reads of the store that include selects to a reply, with the records or
+// an offer of them, and the endpoint list, if the sender of the status lacks them.
 func (s *Service) addReads(out *loadpb.Heard, in *loadpb.Status, include func(feed.ReadMark) bool) {
 	now := s.cfg.Clock.Boot()
 	if read, ok := s.cfg.Store.Published(); ok && include(read) {
 		out.Published = newMark(read, now)
-		theirs := feed.ReadMark{Era: in.GetPublishedEra(), Next: in.GetPublishedNext()}
-		if theirs.Precedes(read) || s.configVersion() > in.GetConfigVersion() {
-			out.Records = lo.Map(s.cfg.Store.Records(), recordMessage)
-			s.recordsSent.Inc()
-			s.recordBytesSent.Add(lo.SumBy(out.Records, func(r *loadpb.Record) int { return len(r.GetValue()) }))
-		}
+		out.ConfigVersion = s.configVersion()
+		s.addRecords(out, in, read, now)
 	}
 	if list, fingerprint, read, ok := s.cfg.Store.Endpoints(); ok && include(read) {
 		out.RosterRead = newMark(feed.ReadMark{Era: read.Era, Started: read.Started}, now)
--- a/router/share/send.go
+++ b/router/share/send.go
@@ -36,9 +36,9 @@
 	defer m.done()
 	s := m.s
 	sent, before := s.cfg.Clock.Boot(), m.peer.received.Load()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := m.peer.client.Tell(ctx, m.status)
+	reply, err := m.peer.client.Tell(call, m.status)
 	if err != nil {
 		s.failures.Inc()
 		s.cfg.Hubs.MarkFailed(m.to.Name, s.cfg.Clock.Boot())
@@ -54,5 +54,5 @@
 	} else {
 		s.pool.Delivered(m.to.FailureDomain, sent)
 	}
-	s.receiveReads(m.to.Name, reply, sent)
+	s.receiveReads(ctx, m.to, reply, sent)
 }
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -28,6 +29,7 @@
 	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/coord/room"
 	"cicadastand.dev/core/coord/speed"
+	"cicadastand.dev/core/coord/spread"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
@@ -35,6 +37,7 @@
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
 	"cicadastand.dev/core/state/mirror"
+	"cicadastand.dev/core/state/pack"
 	"cicadastand.dev/core/state/site"
 	"cicadastand.dev/core/trans/httpd"
 )
@@ -59,8 +62,13 @@
 	Records() []feed.Record
 	// ReceiveRecords applies the newest records that the host from has.
 	ReceiveRecords(records []feed.Record, read feed.ReadMark, from string)
-	// ReceivePublished applies the result of a read by another host.
+	// ReceivePublished applies the result of a read by another host. If it found records that
+	// this host lacks, this host reads the store.
 	ReceivePublished(read feed.ReadMark)
+	// ReceiveOffer records a read by a host that offers the records that it found.
+	ReceiveOffer(read feed.ReadMark)
+	// RecordsArrive records that a part of offered records has arrived.
+	RecordsArrive(now time.Duration)
 	// ReceiveEndpoints applies the endpoint list of another host; list is nil if it
 	// equals this host's list. The read has no offset.
 	ReceiveEndpoints(list map[string]*site.Endpoint, read feed.ReadMark)
@@ -155,14 +163,17 @@
 	answeredBy feed.Host
 	answeredAt time.Duration
 	spending   askState
+	segments   segments
 
 	failures *metrics.Counter
 	unplaced *metrics.Counter
-	// recordsSent counts the replies with the operator's records, and recordBytesSent the
-	// bytes of these records.
+	// recordsSent counts the replies with the operator's records or segments of them, and
+	// recordBytesSent their bytes.
 	recordsSent     *metrics.Counter
 	recordBytesSent *metrics.Counter
-	quota    quotaCounters
+	// fetchesBusy counts requests for segments that this host's link had no room for.
+	fetchesBusy *metrics.Counter
+	quota       quotaCounters
 }
 
 // rpcServer implements the gRPC methods that peers call.
@@ -183,6 +194,8 @@
 		unplaced:          cfg.Metrics.NewCounter("cicada_share_unplaced_total"),
 		recordsSent:       cfg.Metrics.NewCounter("cicada_share_records_sent_total"),
 		recordBytesSent:   cfg.Metrics.NewCounter("cicada_share_record_bytes_sent_total"),
+		fetchesBusy:       cfg.Metrics.NewCounter("cicada_share_fetches_busy_total"),
+		segments:          segments{store: pack.NewStore(), gate: spread.NewGate(cfg.Self.LinkMbps, rand.Float64)},
 		answeredAt:        -hubRoleTimeout,
 	}
 	s.initQuota()
@@ -443,9 +456,6 @@
 	if _, fingerprint, _, ok := s.cfg.Store.Endpoints(); ok {
 		out.Roster = fingerprint
 	}
-	// What this host has of the records does not depend on whether its last read failed.
-	read, _ := s.cfg.Store.Published()
-	out.PublishedEra, out.PublishedNext = read.Era, read.Next
-	out.ConfigVersion = s.configVersion()
+	s.addHeld(out)
 	return out
 }
--- a/router/share/status_test.go
+++ b/router/share/status_test.go
@@ -26,6 +26,8 @@
 
 func (failingStore) Published() (feed.ReadMark, bool) { return feed.ReadMark{Next: 7}, false }
 
+func (failingStore) Records() []feed.Record { return nil }
+
 func (failingStore) Endpoints() (map[string]*site.Endpoint, uint64, feed.ReadMark, bool) {
 	return nil, 0, feed.ReadMark{}, false
 }
--- a/router/watch/published.go
+++ b/router/watch/published.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -185,9 +186,14 @@
 // ReceiveRecords applies the operator's newest records, which another host has. They
 // include the records that it has read up to its mark.
 func (w *Watcher) ReceiveRecords(records []feed.Record, read feed.ReadMark, from string) {
+	m := w.publishedMark()
+	if m.known && m.Era == read.Era {
+		// A large configuration is not decoded again for a change of another record.
+		records = w.changed(records)
+	}
 	p := w.cfg.Store.Decode(records)
 	p.Era, p.Next = read.Era, read.Next
-	if m := w.publishedMark(); !m.known || m.Precedes(read) {
+	if !m.known || m.Precedes(read) {
 		w.applyPublished(p, read.Started, from)
 		return
 	}
@@ -203,6 +209,20 @@
 	}
 }
 
+// changed returns the records that differ from those of this host. While the store has an older
+// configuration than this host, it returns all.
+func (w *Watcher) changed(records []feed.Record) []feed.Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outdated {
+		return records
+	}
+	return lo.Filter(records, func(r feed.Record, _ int) bool {
+		known, ok := w.records[r.Key]
+		return !ok || !bytes.Equal(known, r.Value)
+	})
+}
+
 // Published returns the newest read of the operator's records. It returns false without
 // a current read.
 func (w *Watcher) Published() (feed.ReadMark, bool) {
@@ -210,6 +230,20 @@
 	return m.ReadMark, m.known && !m.failed
 }
 
+// ReceiveOffer records a read by a host that offers the records that it found.
+func (w *Watcher) ReceiveOffer(read feed.ReadMark) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.published.received = max(w.published.received, read.Started)
+}
+
+// RecordsArrive records that a part of offered records has arrived.
+func (w *Watcher) RecordsArrive(now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.published.arrival = now
+}
+
 // ReceivePublished applies the result of another host's read. If it ended at the
 // offset that this host has, the configuration of this host was current when that read
 // started. If it ended later, this host has to read the new records.
--- a/router/watch/watch.go
+++ b/router/watch/watch.go
@@ -84,6 +84,10 @@
 	retryPause = 400 * time.Millisecond
 	// pollInterval is the time between two checks of whether to read.
 	pollInterval = 100 * time.Millisecond
+	// arrivingTime is the time without a part of offered records after which they are not taken
+	// to be arriving, and maxArriving how many times longer a host waits for them than for a read.
+	arrivingTime = 500 * time.Millisecond
+	maxArriving  = 2
 	// outageAfter is the time without a read after which entries may have expired
 	// because the store was unavailable, so that endpoints could not renew them.
 	outageAfter = 2500 * time.Millisecond
@@ -129,6 +133,8 @@
 	known bool
 	// received is when the newest read that another host has passed on was started.
 	received time.Duration
+	// arrival is when a part of offered records has last arrived.
+	arrival time.Duration
 	// failed is set if the last read by this host failed, so that the state is no
 	// longer known to be current.
 	failed bool
@@ -150,7 +156,7 @@
 		eras:        make(chan struct{}, 1),
 		records:     make(map[string][]byte),
 		endpoints:   newEndpointList(),
-		published:   readMark{received: neverReceived},
+		published:   readMark{received: neverReceived, arrival: neverReceived},
 		entriesMark: readMark{received: neverReceived},
 	}
 }
@@ -167,7 +173,9 @@
 	}
 	now := w.cfg.Clock.Boot()
 	if role == Member {
-		return now-m.Started > w.cfg.DirectAfter
+		// Records that are arriving would arrive later beside a read of the same records.
+		arriving := now-m.arrival < arrivingTime && now-m.Started < maxArriving*w.cfg.DirectAfter
+		return now-m.Started > w.cfg.DirectAfter && !arriving
 	}
 	return (role == Reader || now-m.received > w.cfg.TakeoverAfter) && now-m.Started >= interval
 }
