Keep a hub that is only slow

What callers saw: beside a large configuration, loads, placements and grants got old, since hosts changed their hub several times a second. Cause: one status message without a response in 400 ms marked the hub as lost for 2 s, whatever came from it meanwhile. A host that has sent something within the 400 ms is now skipped only after the third late response in a row. One from which nothing came is skipped at once, as before.

--- a/core/coord/hubs/hubs.go
+++ b/core/coord/hubs/hubs.go
@@ -39,6 +39,9 @@
 	hosts map[string]feed.Host
 	// retryAt is the time until which a failed host is skipped.
 	retryAt map[string]time.Duration
+	// slow counts the messages in a row that a host has left without a response, though it sent
+	// something meanwhile.
+	slow map[string]int
 }
 
 // New returns a table that contains only this host.
@@ -47,6 +50,7 @@
 		cfg:     cfg,
 		hosts:   map[string]feed.Host{cfg.Self.Name: cfg.Self},
 		retryAt: make(map[string]time.Duration),
+		slow:    make(map[string]int),
 	}
 }
 
@@ -59,6 +63,7 @@
 	}
 	t.hosts[h.Name] = h
 	delete(t.retryAt, h.Name)
+	delete(t.slow, h.Name)
 	return true
 }
 
@@ -115,11 +120,30 @@
 	t.retryAt[name] = now + t.cfg.RetryAfter
 }
 
+// maxSlow is the number of messages in a row after which a slow host counts as failed: a hub that
+// only sends parts of responses is of no use to its domain.
+const maxSlow = 3
+
+// MarkSlow records that a host did not respond in time, but sent something meanwhile. Another
+// hub would have a slower link. It reports whether the host counts as failed.
+func (t *Table) MarkSlow(name string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slow[name]++
+	if t.slow[name] < maxSlow {
+		return false
+	}
+	delete(t.slow, name)
+	t.retryAt[name] = now + t.cfg.RetryAfter
+	return true
+}
+
 // MarkReachable records that a host responded.
 func (t *Table) MarkReachable(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.retryAt, name)
+	delete(t.slow, name)
 }
 
 // OwnHub returns the hub of this host's failure domain, which may be this host.
--- a/core/coord/hubs/hubs_test.go
+++ b/core/coord/hubs/hubs_test.go
@@ -105,3 +105,18 @@
 	others := lo.Filter(all, func(t *hubs.Table, _ int) bool { return t != leads[0] && t.IsLead(0) })
 	is.Equal(len(others), 1) // the others agree on another one while the lead does not respond
 }
+
+// A hub with a full link sends its responses late. The next hub would have a slower link.
+func TestSlowHubIsNotTakenForALostOne(t *testing.T) {
+	is := is.New(t)
+	table := tables(system(1, 20))[0]
+	hub := table.OwnHub(0).Name
+	is.True(!table.MarkSlow(hub, 0))
+	is.True(!table.MarkSlow(hub, 0))
+	is.Equal(table.OwnHub(0).Name, hub)
+	table.MarkReachable(hub)
+	is.True(!table.MarkSlow(hub, 0))
+	is.True(!table.MarkSlow(hub, 0))
+	is.True(table.MarkSlow(hub, 0)) // the third one in a row
+	is.True(table.OwnHub(0).Name != hub)
+}
--- a/router/share/fetch_test.go
+++ b/router/share/fetch_test.go
@@ -280,3 +280,42 @@
 	}
 	return []feed.Record{{Key: "config", Value: value}}
 }
+
+// busyHub responds to no status in time.
+type busyHub struct{ loadpb.UnimplementedLoadServer }
+
+// Tell implements loadpb.LoadServer.
+func (busyHub) Tell(ctx context.Context, _ *loadpb.Status) (*loadpb.Heard, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// A late response used to make a host take its hub for lost, and the next one with a slower link.
+func TestHostKeepsAHubThatIsOnlySlow(t *testing.T) {
+	for _, lives := range []bool{true, false} {
+		t.Run(fmt.Sprint(lives), func(t *testing.T) {
+			is := is.New(t)
+			hosts := domainHosts(t)
+			listener, err := net.Listen("tcp", hosts[0].Address)
+			is.NoErr(err)
+			t.Cleanup(func() { _ = listener.Close() })
+			if lives { // otherwise its system accepts the connection, and nothing comes
+				server := grpc.NewServer()
+				loadpb.RegisterLoadServer(server, busyHub{})
+				go serve{server, listener}.run()
+				t.Cleanup(server.Stop)
+			}
+			table := hubTable(hosts, 1)
+			set := metrics.NewSet()
+			member := startHostWithHubs(t, hosts, 1, set, table)
+			member.Announce(context.Background())
+			failures := set.GetOrCreateCounter("cicada_share_failures_total")
+			for until := time.Now().Add(10 * time.Second); failures.Get() == 0; {
+				is.True(time.Now().Before(until)) // the message fails
+				time.Sleep(10 * time.Millisecond) // polls
+			}
+			time.Sleep(50 * time.Millisecond) // the failure is recorded right after it is counted
+			is.Equal(table.OwnHub(clock.Real{}.Boot()).Name == hosts[0].Name, lives)
+		})
+	}
+}
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -87,13 +87,28 @@
 
 func startHostWith(t *testing.T, hosts []feed.Host, at int, set *metrics.Set, speeds *speed.Table, store share.StoreState) *share.Service {
 	t.Helper()
-	self := hosts[at]
-	table := hubs.New(hubs.Config{Self: self, RetryAfter: time.Second})
+	return start(t, hosts, at, set, speeds, store, hubTable(hosts, at))
+}
+
+// startHostWithHubs starts the service of one host, which uses a table of hubs.
+func startHostWithHubs(t *testing.T, hosts []feed.Host, at int, set *metrics.Set, table *hubs.Table) *share.Service {
+	t.Helper()
+	return start(t, hosts, at, set, speed.New(speed.Config{}), emptyStore{}, table)
+}
+
+// hubTable returns the table of hubs of one host.
+func hubTable(hosts []feed.Host, at int) *hubs.Table {
+	table := hubs.New(hubs.Config{Self: hosts[at], RetryAfter: time.Second})
 	for _, h := range hosts {
 		table.Add(h)
 	}
+	return table
+}
+
+func start(t *testing.T, hosts []feed.Host, at int, set *metrics.Set, speeds *speed.Table, store share.StoreState, table *hubs.Table) *share.Service {
+	t.Helper()
 	s := share.New(share.Config{
-		Clock: clock.Real{}, Self: self, Hubs: table, Store: store, Mirror: limitedMirror(t), Loads: load.New(time.Second),
+		Clock: clock.Real{}, Self: hosts[at], Hubs: table, Store: store, Mirror: limitedMirror(t), Loads: load.New(time.Second),
 		Poison: poison.New(poison.Config{Retention: time.Second}), Taint: taint.New(taint.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(), Room: room.New(), Speeds: speeds, Lease: noLease{}, Serve: serveTeapot,
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: set,
 	})
--- a/router/share/send.go
+++ b/router/share/send.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"cicadastand.dev/core/proto/feed"
@@ -10,7 +12,7 @@
 )
 
 // send starts sending a message, unless the previous one to that host is in flight.
-func (s *Service) send(ctx context.Context, to feed.Host, status *loadpb.Status) {
+func (s *Service) send(ctx context.Context, to feed.Host, own *loadpb.Status) {
 	peer, done, err := s.peers.beginSend(to)
 	if err != nil {
 		s.cfg.Logger.Warn("can't connect to peer", "peer", to.Name, "error", err)
@@ -19,7 +21,7 @@
 	if peer == nil {
 		return
 	}
-	m := &statusMessage{s: s, to: to, peer: peer, done: done, status: status}
+	m := &statusMessage{s: s, to: to, peer: peer, done: done, status: own}
 	go m.run(ctx)
 }
 
@@ -41,9 +43,15 @@
 	reply, err := m.peer.client.Tell(call, m.status)
 	if err != nil {
 		s.failures.Inc()
-		s.cfg.Hubs.MarkFailed(m.to.Name, s.cfg.Clock.Boot())
-		s.cfg.Logger.Info("status message to peer failed", "hub", m.to.Name, "error", err,
-			"ms", (s.cfg.Clock.Boot() - sent).Milliseconds(), "sent-bytes", proto.Size(m.status), "received-bytes", m.peer.received.Load()-before)
+		now, received := s.cfg.Clock.Boot(), m.peer.received.Load()-before
+		skipped := true
+		if received > 0 && status.Code(err) == codes.DeadlineExceeded {
+			skipped = s.cfg.Hubs.MarkSlow(m.to.Name, now)
+		} else {
+			s.cfg.Hubs.MarkFailed(m.to.Name, now)
+		}
+		s.cfg.Logger.Info("status message to peer failed", "hub", m.to.Name, "error", err, "skipped", skipped,
+			"ms", (now - sent).Milliseconds(), "sent-bytes", proto.Size(m.status), "received-bytes", received)
 		return
 	}
 	s.cfg.Hubs.MarkReachable(m.to.Name)
