--- a/core/proto/logapi/client.go
+++ b/core/proto/logapi/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -89,7 +88,8 @@
 type Config struct {
 	Clock   clock.Service
 	Address netip.AddrPort
-	// Timeout limits each call. The wait time that a call requests is added to it.
+	// Timeout limits the time to the head of a response, and the time in which its body brings
+	// progressBytes more. The wait time that a call requests is added to it.
 	Timeout time.Duration
 	// Dial opens connections; nil selects the default dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -105,6 +105,9 @@
 	readLimit       = 512
 	maxResponseSize = 64 << 20
 	idleConns       = 8
+	// progressBytes is far less than a slow link carries in the time limit of a call. Operators
+	// decide how large the records are.
+	progressBytes = 64 << 10
 )
 
 // New returns a client.
@@ -157,8 +160,8 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body []byte, wait time.Duration, out any) error {
-	ctx, cancel := clock.WithTimeout(ctx, c.cfg.Clock, c.cfg.Timeout+wait)
-	defer cancel()
+	ctx, deadline := clock.WithDeadline(ctx, c.cfg.Clock, c.cfg.Timeout+wait)
+	defer deadline.Stop()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("make request: %w", err)
@@ -168,7 +171,7 @@
 		return fmt.Errorf("send request: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
+	raw, err := httpc.ReadBody(resp.Body, maxResponseSize, deadline, httpc.Progress{Bytes: progressBytes, Interval: c.cfg.Timeout})
 	if err != nil {
 		return fmt.Errorf("read reply: %w", err)
 	}
--- a/core/state/clock/clock_test.go
+++ b/core/state/clock/clock_test.go
@@ -36,3 +36,18 @@
 	<-ctx.Done()
 	is.True(errors.Is(context.Cause(ctx), context.DeadlineExceeded))
 }
+
+func TestDeadlineIsDeferred(t *testing.T) {
+	is := is.New(t)
+	f := clock.NewFake(time.Unix(100, 0))
+	ctx, deadline := clock.WithDeadline(context.Background(), f, time.Minute)
+	defer deadline.Stop()
+	for range 3 {
+		f.Advance(50 * time.Second)
+		deadline.Defer(time.Minute)
+	}
+	is.NoErr(ctx.Err())
+	f.Advance(time.Minute)
+	<-ctx.Done()
+	is.True(errors.Is(context.Cause(ctx), context.DeadlineExceeded))
+}
--- a/stand/memdb/memdb_test.go
+++ b/stand/memdb/memdb_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/platform/store"
 	"cicadastand.dev/stand/memdb"
 )
@@ -19,7 +20,7 @@
 	db := memdb.New()
 	server := httptest.NewServer(db)
 	t.Cleanup(server.Close)
-	client := store.New(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	client := store.New(store.Config{Clock: clock.New(), Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))})
 	t.Cleanup(client.Close)
 	return db, client
 }
