Read the store if offered records do not arrive; replace a transfer only by newer ones

Found by a test of the transfers: a hub hears of each read of the reader and so never takes over by itself; if the outline or all segments failed to come, it would have waited for ever. And an offer of the same read with other fingerprints, from hosts of which one has seen a deleted record, replaced the running transfer at each status, so that none ended. Now a failed outline makes the host read the store, only records of a later read replace a transfer, and deleted records don't count for the fingerprint.

--- a/core/state/pack/pack.go
+++ b/core/state/pack/pack.go
@@ -76,10 +76,14 @@
 	return lo.SumBy(o.segments(), func(s Segment) int { return s.Size })
 }
 
-// Fingerprint returns a hash of the records that does not depend on their order. It is not 0.
+// Fingerprint returns a hash of the records that does not depend on their order, nor on records
+// without a value: they were deleted, and not every host has seen them. It is not 0.
 func (o Outline) Fingerprint() uint64 {
 	sum := uint64(1)
 	for _, r := range o {
+		if len(r.Segments) == 0 {
+			continue
+		}
 		h := xxhash.New()
 		// Writes to a hash don't fail.
 		_, _ = h.WriteString(r.Key)
--- a/router/share/fetch_test.go
+++ b/router/share/fetch_test.go
@@ -319,3 +319,53 @@
 		})
 	}
 }
+
+// uselessHub offers records and does not send them.
+type uselessHub struct {
+	loadpb.UnimplementedLoadServer
+	outline *loadpb.OutlineReply
+}
+
+// Tell implements loadpb.LoadServer.
+func (h uselessHub) Tell(context.Context, *loadpb.Status) (*loadpb.Heard, error) {
+	return &loadpb.Heard{Published: &loadpb.Mark{Known: true, Next: 6}, Offer: &loadpb.Offer{Fingerprint: 1}}, nil
+}
+
+// Outline implements loadpb.LoadServer.
+func (h uselessHub) Outline(context.Context, *loadpb.OutlineRequest) (*loadpb.OutlineReply, error) {
+	return h.outline, nil
+}
+
+// Fetch implements loadpb.LoadServer.
+func (h uselessHub) Fetch(context.Context, *loadpb.FetchRequest) (*loadpb.FetchReply, error) {
+	return &loadpb.FetchReply{Busy: true}, nil
+}
+
+// A hub hears of each read, so it does not read the store by itself as a member does after a time.
+func TestHostReadsTheStoreIfOfferedRecordsDoNotArrive(t *testing.T) {
+	segment := &loadpb.Segment{Id: make([]byte, 16), Size: 5000}
+	outlines := map[string]*loadpb.OutlineReply{
+		"no-read":    {},
+		"impossible": {Published: &loadpb.Mark{Known: true, Next: 6}, Records: []*loadpb.RecordOutline{{Key: "config", Segments: []*loadpb.Segment{{Id: []byte("x"), Size: 1 << 30}}}}},
+		"no-segment": {Published: &loadpb.Mark{Known: true, Next: 6}, Records: []*loadpb.RecordOutline{{Key: "config", Segments: []*loadpb.Segment{segment}}}},
+	}
+	for name, outline := range outlines {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			hosts := domainHosts(t)
+			listener, err := net.Listen("tcp", hosts[0].Address)
+			is.NoErr(err)
+			server := grpc.NewServer()
+			loadpb.RegisterLoadServer(server, uselessHub{outline: outline})
+			go serve{server, listener}.run()
+			t.Cleanup(server.Stop)
+			store := &heldStore{}
+			member := startHostWithStore(t, hosts, 1, metrics.NewSet(), store)
+			for until := time.Now().Add(10 * time.Second); store.readCount() == 0; {
+				is.True(time.Now().Before(until)) // the host reads
+				member.Announce(context.Background())
+				time.Sleep(20 * time.Millisecond) // the interval of status messages
+			}
+		})
+	}
+}
--- a/router/share/transfer.go
+++ b/router/share/transfer.go
@@ -71,7 +71,7 @@
 	defer s.segments.mu.Unlock()
 	sources := append(offer.GetSources(), from.Name)
 	if t := s.segments.running; t != nil {
-		if newer, ok := t.receive(read, offer.GetFingerprint(), sources); ok || !newer {
+		if !t.isReplacedBy(read, sources) {
 			return
 		}
 		t.cancel()
@@ -83,16 +83,15 @@
 	go t.run(ctx)
 }
 
-// receive adds the sources of an offer if it is of the same records. Otherwise it reports
-// whether those are newer.
-func (t *transfer) receive(read feed.ReadMark, fingerprint uint64, sources []string) (newer, ok bool) {
+// isReplacedBy reports whether the records of an offer are newer than those of the transfer. It
+// adds the sources of an offer of the same records.
+func (t *transfer) isReplacedBy(read feed.ReadMark, sources []string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.fingerprint == fingerprint {
+	if !read.Precedes(t.read) && !t.read.Precedes(read) {
 		t.offer(sources)
-		return false, true
 	}
-	return !read.Precedes(t.read), false
+	return t.read.Precedes(read)
 }
 
 // offer adds sources; the caller holds the lock if the transfer has begun.
@@ -121,8 +120,8 @@
 	outline, err := t.begin(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
-			// The next status offers the records again, perhaps at another host.
 			t.s.cfg.Logger.Info("outline of records did not arrive", "from", t.from.Name, "error", err)
+			t.s.cfg.Store.ReceivePublished(t.read)
 		}
 		return
 	}
