Don't read from the store what another host has begun to send

A member reads the store once it knows no read younger than 1.5 s. After the loss of the reader, the hub takes over at 1.25 s, and the members learn of its read at about 1.5 s, so some of them would read a large configuration of which the first segments are on their way. The start of a transfer now counts as an arrival for half a second, and the test of the watcher has the rule.

--- a/router/share/transfer.go
+++ b/router/share/transfer.go
@@ -80,6 +80,8 @@
 	t := &transfer{s: s, from: from, read: read, cancel: cancel, fingerprint: offer.GetFingerprint(), started: s.cfg.Clock.Boot(), sources: make(map[string]feed.Host)}
 	t.offer(sources)
 	s.segments.running = t
+	// The first segments are about to come: a read of the store would delay them.
+	s.cfg.Store.RecordsArrive(t.started)
 	go t.run(ctx)
 }
 
--- a/router/watch/watch_test.go
+++ b/router/watch/watch_test.go
@@ -195,3 +195,35 @@
 	is.Equal(local.View().Config.Version, int64(3))
 	is.Equal(len(w.Records()[0].Value), 3)
 }
+
+// A host that receives a large configuration in parts would slow itself down by reading it from the
+// store as well. It reads after all if the parts stop, or take much longer.
+func TestHostDoesNotReadWhatIsArriving(t *testing.T) {
+	is := is.New(t)
+	w, _ := watcher(t)
+	w.cfg.TakeoverAfter, w.cfg.DirectAfter = 1250*time.Millisecond, 1500*time.Millisecond
+	now := w.cfg.Clock.Boot()
+	w.ReceiveRecords(record(1), feed.ReadMark{Next: 5, Started: now - 2*time.Second}, "hub")
+	is.True(w.shouldRead(w.publishedMark(), Member, 0))
+	w.ReceiveOffer(feed.ReadMark{Next: 6, Started: now})
+	is.True(!w.shouldRead(w.publishedMark(), Hub, 0)) // another host reads for it
+	w.RecordsArrive(now)
+	is.True(!w.shouldRead(w.publishedMark(), Member, 0))
+	w.RecordsArrive(now - time.Second) // the last part
+	is.True(w.shouldRead(w.publishedMark(), Member, 0))
+	w.RecordsArrive(now)
+	w.cfg.DirectAfter = time.Second // the newest read is twice as old
+	is.True(w.shouldRead(w.publishedMark(), Member, 0))
+}
+
+// A new version of weights must not make hosts decode a large configuration again.
+func TestUnchangedRecordsAreNotDecodedAgain(t *testing.T) {
+	is := is.New(t)
+	w, _ := watcher(t)
+	other := feed.Record{Key: "other", Value: []byte("x")}
+	w.ReceiveRecords(record(1), feed.ReadMark{Era: 1, Next: 5, Started: time.Second}, "hub")
+	is.Equal(w.changed(append(record(1), other)), []feed.Record{other})
+	is.Equal(len(w.changed(record(2))), 1)
+	w.outdated = true // the store lacks what this host has
+	is.Equal(len(w.changed(record(1))), 1)
+}
