--- a/router/share/fetch_test.go
+++ b/router/share/fetch_test.go
@@ -271,6 +271,32 @@
 	is.True(sent(1) > 0 && sent(1) < size*6/10) // what the first hub has sent and a few batches on their way
 }
 
+// A newer version is published when half of a version has arrived. What both share must not be
+// sent again, or versions that follow each other would never arrive.
+func TestNewerVersionKeepsWhatHasArrived(t *testing.T) {
+	is := is.New(t)
+	hosts := domainHosts(t)
+	set := metrics.NewSet()
+	first := randomConfig()
+	hub := &heldStore{mark: feed.ReadMark{Next: 5, Started: clock.Real{}.Boot(), Own: true}, records: first}
+	startHostWithStore(t, hosts, 0, set, hub)
+	sent := set.GetOrCreateCounter("cicada_share_record_bytes_sent_total")
+	hosts[0].Address = startSlowLink(t, hosts[0].Address)
+	second := []feed.Record{{Key: "config", Value: append([]byte("changed"), first[0].Value...)}}
+	received := &heldStore{}
+	member := startHostWithStore(t, hosts, 1, metrics.NewSet(), received)
+	size := len(first[0].Value)
+	for until := time.Now().Add(20 * time.Second); !received.has(second); {
+		is.True(time.Now().Before(until)) // the newer version arrives
+		if int(sent.Get()) > size/2 {
+			hub.ReceiveRecords(second, feed.ReadMark{Next: 6, Started: clock.Real{}.Boot(), Own: true}, "")
+		}
+		member.Announce(context.Background())
+		time.Sleep(20 * time.Millisecond) // the interval of status messages
+	}
+	is.True(int(sent.Get()) < size*12/10)
+}
+
 // randomConfig returns records of 1 MB that can't be compressed.
 func randomConfig() []feed.Record {
 	rng := rand.New(rand.NewPCG(1, 1))
