--- a/router/share/outline.go
+++ b/router/share/outline.go
@@ -116,22 +116,30 @@
 		return
 	}
 	records := s.cfg.Store.Records()
-	size := recordBytes(records)
+	size, limit := recordBytes(records), maxInlineBytes
+	if !in.GetFetches() {
+		limit = maxInlineOldBytes
+	}
 	switch {
-	case lacks && (size <= maxInlineBytes || !in.GetFetches() && size <= maxInlineOldBytes):
+	case lacks && size <= limit:
 		out.Records = lo.Map(records, recordMessage)
 		s.recordsSent.Inc()
 		s.recordBytesSent.Add(size)
-	case in.GetFetches() && size > maxInlineBytes:
-		// Whether the sender lacks them is not known if its own records are large.
-		own, ok := s.outline()
-		if !ok {
-			return
-		}
-		s.segments.gate.Hold(in.GetHost(), in.GetHolds(), now)
-		if lacks || in.GetHolds() != own.fingerprint || in.GetArriving() {
-			out.Offer = &loadpb.Offer{Fingerprint: own.fingerprint, Sources: s.segments.gate.Sources(in.GetHost(), own.fingerprint, now)}
-		}
+	case in.GetFetches() && size > limit:
+		s.addOffer(out, in, lacks, now)
+	}
+}
+
+// addOffer offers this host's records to the sender of a status. Whether it lacks some is not
+// known if its own records are large; it holds other segments then.
+func (s *Service) addOffer(out *loadpb.Heard, in *loadpb.Status, lacks bool, now time.Duration) {
+	own, ok := s.outline()
+	if !ok {
+		return
+	}
+	s.segments.gate.Hold(in.GetHost(), in.GetHolds(), now)
+	if lacks || in.GetHolds() != own.fingerprint || in.GetArriving() {
+		out.Offer = &loadpb.Offer{Fingerprint: own.fingerprint, Sources: s.segments.gate.Sources(in.GetHost(), own.fingerprint, now)}
 	}
 }
 
