Review: show that streams go on at engines that restarted with newer software

The list tells the software of an engine's earlier start until it is read again, and the engine's ID has not changed.

--- a/review/probe/engine.go
+++ b/review/probe/engine.go
@@ -173,7 +173,10 @@
 		return
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	e.c.began(run{id: id, engine: e.id, build: e.build, began: time.Now(), first: last + 1})
+	e.mu.Lock()
+	build := e.build
+	e.mu.Unlock()
+	e.c.began(run{id: id, engine: e.id, build: build, began: time.Now(), first: last + 1})
 	h.Set("X-Response-Seal", "seal."+id)
 	number := func(name string) int {
 		n, _ := strconv.Atoi(r.URL.Query().Get(name))
@@ -203,7 +206,7 @@
 		if n > last+1 && !pause(number("gap")) {
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s piece %d\n\n", n, e.build, n); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s piece %d\n\n", n, build, n); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -15,7 +15,7 @@
 		fmt.Fprintln(os.Stderr, "usage: probe CASE ROOT RECORD")
 		os.Exit(exitCantRun)
 	}
-	cases := map[string]func(*cluster){"stop": stopWhileForwarding, "helper": stopOfHelper, "restore": restoreAndKill, "options": optionsOfServer, "parts": manyParts, "readers": slowReaders}
+	cases := map[string]func(*cluster){"stop": stopWhileForwarding, "helper": stopOfHelper, "restore": restoreAndKill, "options": optionsOfServer, "parts": manyParts, "readers": slowReaders, "inplace": restartInPlace}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
