--- a/review/probe/engine.go
+++ b/review/probe/engine.go
@@ -22,9 +22,9 @@
 	first  int
 }
 
-// work says what the request asks of the stand-in: "work" and "gap" are times in ms, "events"
-// the number of events of a stream and "bytes" the size of the answer. Clients name it in
-// the query.
+// engine is a stand-in of an engine or a worker. The query of a request tells what it asks for:
+// "work" and "gap" are times in ms, "events" the number of events of a stream and "bytes" the size of
+// the answer.
 type engine struct {
 	c       *cluster
 	id      string
