Log what the version of a resumed stream is taken from

The logs could not tell why a stream was resumed at a version: a record that this host had, one read from the store, or none at all. Nor could the line of a request tell whether another host may have run it. Both are in the line now, and each read of the origins says what it found.

--- a/core/coord/origin/origin.go
+++ b/core/coord/origin/origin.go
@@ -283,25 +283,46 @@
 	errListAge = errors.New("the client does not name the stream, and the endpoint list is too old")
 )
 
+// From says what an Answer is based on.
+type From string
+
+const (
+	// FromMemory is a stream that this host began, or whose record it had read before.
+	FromMemory From = "memory"
+	// FromRecord is a record that was read from the store for this answer.
+	FromRecord From = "record"
+	// FromList is the only build in the endpoint list.
+	FromList From = "list"
+	// FromBase is the base build, for a stream without a record.
+	FromBase From = "base"
+)
+
+// Answer is the build that began a stream.
+type Answer struct {
+	Build string
+	From  From
+}
+
 // Resolve returns the build that began a stream, if the store's records up to now have been
 // added.
-func (t *Table) Resolve(name string, stream feed.StreamKey, now time.Duration) (string, error) {
+func (t *Table) Resolve(name string, stream feed.StreamKey, now time.Duration) (Answer, error) {
 	if build, ok := t.Find(stream); ok {
-		return build, nil
+		return Answer{Build: build, From: FromRecord}, nil
 	}
 	if build, ok := t.Sole(name, now); ok {
-		return build, nil
+		return Answer{Build: build, From: FromList}, nil
 	}
 	if stream == 0 {
 		if !t.IsListCurrent(now) {
-			return "", errListAge
+			return Answer{}, errListAge
 		}
-		return t.onlyListed(name)
+		build, err := t.onlyListed(name)
+		return Answer{Build: build, From: FromList}, err
 	}
 	if base, ok := t.Base(name); ok {
-		return base.Build, nil
+		return Answer{Build: base.Build, From: FromBase}, nil
 	}
-	return "", errUnknown
+	return Answer{}, errUnknown
 }
 
 // onlyListed returns the build of all endpoints of a service. It is that of a stream of which
--- a/core/coord/origin/origin_test.go
+++ b/core/coord/origin/origin_test.go
@@ -27,15 +27,15 @@
 	t.SetBase(base, time.Second, time.Second)
 	t.SetListed(service, map[string]int{"v1": 9, "v2": 9}, 2*time.Second)
 	fmt.Println(t.NeedsRecord(service, "v2"))
-	build, err := t.Resolve(service, feed.NewStreamKey("a"), 3*time.Second)
-	fmt.Println(build, err)
+	answer, err := t.Resolve(service, feed.NewStreamKey("a"), 3*time.Second)
+	fmt.Println(answer, err)
 	t.Add(3*time.Second, feed.Origin{Stream: feed.NewStreamKey("a"), Build: "v2"})
-	build, err = t.Resolve(service, feed.NewStreamKey("a"), 3*time.Second)
-	fmt.Println(build, err)
+	answer, err = t.Resolve(service, feed.NewStreamKey("a"), 3*time.Second)
+	fmt.Println(answer, err)
 	// Output:
 	// true
-	// v1 <nil>
-	// v2 <nil>
+	// {v1 base} <nil>
+	// {v2 record} <nil>
 }
 
 // log is the store's log of origins, and all that a loss of power leaves.
@@ -111,7 +111,7 @@
 			}
 			got, err := cold.Resolve(service, feed.NewStreamKey(id), now)
 			is.NoErr(err)
-			is.Equal(got, s.build) // of the stream
+			is.Equal(got.Build, s.build) // of the stream
 		}
 	}
 	is.Equal(l.base, feed.Base{Service: service, Build: "v1", Term: 3})
@@ -158,9 +158,9 @@
 	_, err = table.Resolve(service, feed.NewStreamKey(""), 4)
 	is.True(err != nil) // the client does not say which stream it resumes
 	table.SetListed(service, map[string]int{"v2": 1}, 5)
-	build, err := table.Resolve(service, feed.NewStreamKey(""), 6)
+	answer, err := table.Resolve(service, feed.NewStreamKey(""), 6)
 	is.NoErr(err)
-	is.Equal(build, "v2") // no other could go on
+	is.Equal(answer.Build, "v2") // no other could go on
 }
 
 // All endpoints have had one build for longer than streams are resumed.
--- a/router/keep/keep.go
+++ b/router/keep/keep.go
@@ -238,13 +238,13 @@
 
 // Find returns the build of a service that began the stream of a request. It reads the store
 // if this host does not know.
-func (k *Keeper) Find(ctx context.Context, service, id string) (string, error) {
+func (k *Keeper) Find(ctx context.Context, service, id string) (origin.Answer, error) {
 	stream := feed.NewStreamKey(id)
 	if build, ok := k.cfg.Table.Find(stream); ok {
-		return build, nil
+		return origin.Answer{Build: build, From: origin.FromMemory}, nil
 	}
 	if build, ok := k.cfg.Table.Sole(service, k.cfg.Clock.Boot()); ok {
-		return build, nil
+		return origin.Answer{Build: build, From: origin.FromList}, nil
 	}
 	if stream == 0 {
 		return k.cfg.Table.Resolve(service, stream, k.cfg.Clock.Boot())
@@ -255,9 +255,9 @@
 		// of the builds that were listed before.
 		build, ok := k.cfg.Table.SoleListed(service, k.cfg.Clock.Boot())
 		if ok && (k.cfg.HostCount() < 2 || !k.cfg.IsPartitioned()) {
-			return build, nil
+			return origin.Answer{Build: build, From: origin.FromList}, nil
 		}
-		return "", err
+		return origin.Answer{}, err
 	}
 	return k.cfg.Table.Resolve(service, stream, k.cfg.Clock.Boot())
 }
--- a/router/keep/keep_test.go
+++ b/router/keep/keep_test.go
@@ -155,11 +155,11 @@
 func (k *keeper) find(id string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	build, err := k.Find(ctx, service, id)
+	answer, err := k.Find(ctx, service, id)
 	if err != nil {
 		k.t.Log(err)
 	}
-	return build
+	return answer.Build
 }
 
 // All engines had one build for long. Then engines of another one join while this host stands
--- a/router/keep/read.go
+++ b/router/keep/read.go
@@ -48,6 +48,7 @@
 
 // readOrigins adds all origins that the store has and this host has not read.
 func (k *Keeper) readOrigins(ctx context.Context) error {
+	read := 0
 	for {
 		o, err := k.cfg.Log.Origins(ctx, k.from)
 		var trimmed *feed.ErrTrimmed
@@ -68,7 +69,9 @@
 		}
 		k.era = max(k.era, o.Era)
 		k.cfg.Table.Add(k.cfg.Clock.Boot(), o.Origins...)
+		read += len(o.Origins)
 		if k.from = o.Next; o.Next >= o.End {
+			k.cfg.Logger.Info("read origins of streams", "records", read, "next", k.from, "era", k.era)
 			return nil
 		}
 	}
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cicadastand.dev/core/coord/hold"
+	"cicadastand.dev/core/coord/origin"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/proto/call"
@@ -94,6 +95,8 @@
 	// build is the only build that may send the next event, if hasBuild is set.
 	build    string
 	hasBuild bool
+	// originFrom says what build is based on if the client resumes the stream.
+	originFrom origin.From
 	// recordedAt is when the origin of the stream was last recorded.
 	recordedAt time.Duration
 	// lastEvent is the ID of the last event that was sent to the client, and streamType the
@@ -409,7 +412,7 @@
 	j.r.latency.Update(took.Seconds())
 	j.r.cfg.Metrics.GetOrCreateCounter(`cicada_relay_requests_total{outcome="` + j.outcome + `"}`).Inc()
 	age, _ := j.r.cfg.Mirror.ConfigAge(j.r.cfg.Clock.Boot())
-	args := []any{"id", j.params.ID, "outcome", j.outcome, "ms", took.Milliseconds(), "sends", j.sends, "config-age-ms", age.Milliseconds()}
+	args := []any{"id", j.params.ID, "outcome", j.outcome, "ms", took.Milliseconds(), "sends", j.sends, "attempts", j.attempts, "may-run-elsewhere", j.mayRunElsewhere, "config-age-ms", age.Milliseconds()}
 	if j.view != nil && j.view.Config != nil {
 		args = append(args, "config", j.view.Config.Version)
 	}
@@ -430,7 +433,7 @@
 		args = append(args, "build", j.chosen.endpoint.Build)
 	}
 	if j.params.LastEvent > 0 {
-		args = append(args, "resumes", j.params.Resumes, "after-event", j.params.LastEvent, "began-build", j.build)
+		args = append(args, "resumes", j.params.Resumes, "after-event", j.params.LastEvent, "began-build", j.build, "began-from", j.originFrom)
 	}
 	if j.isModel() && j.chosen.endpoint != nil {
 		args = append(args, "rank", j.rank(), "tokens", j.chosen.prefillTokens, "ahead", j.chosen.tokensAhead, "waiting", math.Round(10*j.chosen.waiting)/10, "memory", j.chosen.memory, "lacking", j.chosen.lacking,
--- a/router/relay/origin.go
+++ b/router/relay/origin.go
@@ -27,11 +27,11 @@
 	if j.params.LastEvent == 0 || !j.isResumable() || j.hasBuild {
 		return nil
 	}
-	build, err := j.r.cfg.Origins.Find(ctx, j.serviceName, j.params.Resumes)
+	began, err := j.r.cfg.Origins.Find(ctx, j.serviceName, j.params.Resumes)
 	if err != nil {
 		return newRejection(http.StatusServiceUnavailable, j.r.retryAfterStale(), "the software version that began the stream is not known: %v", err)
 	}
-	j.build, j.hasBuild = build, true
+	j.build, j.hasBuild, j.originFrom = began.Build, true, began.From
 	return nil
 }
 
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -16,6 +16,7 @@
 	"cicadastand.dev/core/coord/eject"
 	"cicadastand.dev/core/coord/line"
 	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/origin"
 	"cicadastand.dev/core/coord/pace"
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
@@ -72,7 +73,7 @@
 	// time, if it is due. It returns the time of the newest record.
 	Renew(service, id, build string, at time.Duration) time.Duration
 	// Find returns the build that began the stream of a request.
-	Find(ctx context.Context, service, id string) (string, error)
+	Find(ctx context.Context, service, id string) (origin.Answer, error)
 	// BuildsToBegin returns the builds at which streams of a service should begin now, and
 	// false if they may begin at any.
 	BuildsToBegin(service string) ([]string, bool)
