Ask one predicate whether a request may have run

Cause: whether a request may have run was asked in different words. Where a request ends, only the host's own sends were counted; that another host may run it was looked at for the units of its account only.

mayHaveRun is the one predicate now, and reject asks it for each status of the host's own that promises "not run". This works as all such statuses go through reject; a path cannot forget it.

TestOrderAtAnotherHostAtTheEndOfTheGraceTimeIsNotRefused failed before (503 instead of 502 or 504). Of TestRequestThatMayRunElsewhereIsNotRefused 3 of 7 cases failed: the grace time ends, a rejection after a broken response (503 and 429).

--- a/router/hosted/grace_test.go
+++ b/router/hosted/grace_test.go
@@ -83,11 +83,28 @@
 
 // An order is still at work when the grace time ends. Its caller is told that it may have run.
 func TestOrderAtTheEndOfTheGraceTimeIsAnswered(t *testing.T) {
-	is := is.New(t)
 	c := newCluster(t, 1)
+	c.checkOrderAtTheEndOfTheGraceTime()
+}
+
+// The same for an order that another host serves, since this one did not reach the endpoint. Its
+// caller got 503, which says that the order has not run.
+func TestOrderAtAnotherHostAtTheEndOfTheGraceTimeIsNotRefused(t *testing.T) {
+	c := newCluster(t, 3)
+	c.link = newLink()
+	c.checkOrderAtTheEndOfTheGraceTime()
+}
+
+func (c *cluster) checkOrderAtTheEndOfTheGraceTime() {
+	c.t.Helper()
+	is := is.New(c.t)
 	c.routeTime = 8 * time.Second
 	orders := c.startSlowShop(10 * time.Second)
 	c.startServing()
+	if c.link != nil {
+		c.eventually("host knows the others", func() bool { return c.hosts[0].log.count("host registered") >= len(c.hosts)-1 })
+		c.link.set(refuses)
+	}
 	client := c.connect(c.hosts[0])
 	result := make(chan int, 1)
 	go func() {
--- a/router/relay/forward.go
+++ b/router/relay/forward.go
@@ -117,7 +117,7 @@
 		j.countBroken(err)
 		return j.route.Retryable(), newRejection(http.StatusBadGateway, 0, "host %s broke off its response: %v", resp.Host, err)
 	}
-	if j.attempts > 0 && saysNotRun(resp.Status) {
+	if j.mayHaveRun() && saysNotRun(resp.Status) {
 		return false, newRejection(http.StatusBadGateway, 0, "an endpoint may have run the request; host %s answered %d", resp.Host, resp.Status)
 	}
 	j.copyHeader(resp.Header)
--- a/router/relay/forward_test.go
+++ b/router/relay/forward_test.go
@@ -117,6 +117,60 @@
 	is.Equal(fault.status, http.StatusBadGateway)
 }
 
+// lostHost is a host that does not answer before the request ends, or is lost.
+type lostHost struct{ err error }
+
+func (h lostHost) Forward(ctx context.Context, _ call.Forwarded) (*call.ForwardedResponse, error) {
+	if h.err != nil {
+		return nil, h.err
+	}
+	<-ctx.Done()
+	return nil, context.Cause(ctx)
+}
+
+// Whichever way a request ends that another host may have run, its client is not told that it has
+// not run. If the other host says so, it is.
+func TestRequestThatMayRunElsewhereIsNotRefused(t *testing.T) {
+	const busy, unknown = http.StatusServiceUnavailable, http.StatusBadGateway
+	noRoom := newRejection(busy, time.Second, "no room")
+	for name, test := range map[string]struct {
+		peer Peers
+		// later ends the request after another host was asked.
+		later *rejection
+		want  int
+	}{
+		"this host ends":                     {lostHost{}, nil, unknown},
+		"the other host is lost":             {lostHost{errors.New("connection lost")}, nil, unknown},
+		"rejected after the other was lost":  {lostHost{errors.New("connection lost")}, noRoom, unknown},
+		"rejected after a broken response":   {lostHost{&call.ErrBroken{}}, noRoom, unknown},
+		"the limit is reached after it":      {lostHost{&call.ErrBroken{}}, newRejection(http.StatusTooManyRequests, 0, "limit"), unknown},
+		"no other host could serve it":       {lostHost{call.ErrNotForwarded}, nil, busy},
+		"the other host says it has not run": {otherHost{status: busy, body: strings.NewReader("busy")}, nil, busy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j, client := newForwarded(otherHost{})
+			j.r.cfg.Peers = test.peer
+			j.route.Kind, j.route.Resumable = site.NonIdempotent, false
+			j.r.ending, j.r.end = context.WithCancelCause(context.Background())
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if name == "this host ends" {
+				j.r.End()
+				cancel()
+			}
+			_, fault := j.forward(ctx)
+			if test.later != nil {
+				fault = test.later
+			}
+			if fault != nil {
+				j.fail(ctx, fault)
+			}
+			is.Equal(client.Code, test.want)
+		})
+	}
+}
+
 // Hosts without a path to the endpoints pass requests on while engines crash and reject many.
 // A request that has reached an engine was retried without a charge to the retry budget, here
 // and at yet another host, if some endpoint had not been reached before.
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -392,13 +392,8 @@
 		_ = j.writeResponse(j.lastResponse)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		j.reject(errTimeout)
-	case j.r.ending.Err() != nil && j.attempts > 0:
-		j.reject(newRejection(http.StatusBadGateway, 0, "%v, and an endpoint may have run the request", errEnding))
 	case j.r.ending.Err() != nil:
 		j.reject(newRejection(http.StatusServiceUnavailable, 0, "%v", errEnding))
-	case j.attempts > 0 && fault.status == http.StatusServiceUnavailable:
-		// Clients take 503 as proof that the request has not run.
-		j.reject(newRejection(http.StatusBadGateway, 0, "an endpoint may have run the request; %s", fault.reason))
 	default:
 		j.reject(fault)
 	}
--- a/router/relay/quota.go
+++ b/router/relay/quota.go
@@ -50,9 +50,6 @@
 	return max(retryPrecision, wait)
 }
 
-// mayHaveRun reports whether an endpoint may have run the request.
-func (j *job) mayHaveRun() bool { return j.attempts > j.attemptsBefore || j.mayRunElsewhere }
-
 // returnUnits gives the units of a request that has not run back to its account.
 func (j *job) returnUnits() {
 	if j.units > 0 && j.charged.Action == quota.Admit && !j.mayHaveRun() {
--- a/router/relay/reject.go
+++ b/router/relay/reject.go
@@ -51,8 +51,12 @@
 	return newRejection(http.StatusServiceUnavailable, max(left, retryAfterBusy), format, args...)
 }
 
-// reject writes an error response for a request that was not forwarded or failed.
+// reject writes an error response for a request that was not forwarded or failed. A status that
+// clients take as proof that the request has not run is replaced if it may have.
 func (j *job) reject(e *rejection) {
+	if saysNotRun(e.status) && j.mayHaveRun() {
+		e = &rejection{status: http.StatusBadGateway, reason: "an endpoint may have run the request; " + e.reason, close: e.close}
+	}
 	j.outcome = strconv.Itoa(e.status)
 	j.reason = e.reason
 	h := j.w.Header()
--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -37,6 +37,10 @@
 	}
 }
 
+// mayHaveRun reports whether an endpoint may have run the request, or may run it yet: this host, the
+// one that forwarded the request or the one that serves it instead has sent it.
+func (j *job) mayHaveRun() bool { return j.attempts > 0 || j.mayRunElsewhere }
+
 var errResponseTooLong = fmt.Errorf("response body is longer than %d bytes", maxResponse)
 
 // writeResponse forwards an endpoint's response to the client. A status that clients
