Take no part of a body for whole after a failed write

Cause: the kernel reports a reset once. If the write of the upload gets it, the next read finds the end of the stream, which ends such a body.

--- a/core/proto/logapi/client.go
+++ b/core/proto/logapi/client.go
@@ -112,9 +112,7 @@
 
 // New returns a client.
 func New(cfg Config) *Client {
-	transport := httpc.NewTransport(cfg.Dial)
-	transport.MaxIdleConnsPerHost = idleConns
-	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
+	return &Client{cfg: cfg, http: httpc.New(httpc.Config{Dial: cfg.Dial, MaxIdlePerHost: idleConns})}
 }
 
 // Close closes idle connections.
--- a/core/trans/httpc/httpc.go
+++ b/core/trans/httpc/httpc.go
@@ -10,7 +10,30 @@
 // MaxHead limits the head of a response, in bytes: a faulty server may send one without end.
 const MaxHead = 64 << 10
 
-// NewTransport returns a transport that opens connections with dial.
-func NewTransport(dial dialer.Func) *http.Transport {
-	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: MaxHead}
+// Config configures a client.
+type Config struct {
+	Dial dialer.Func
+	// MaxIdlePerHost limits the idle connections to one address; 0 for the default of package http.
+	MaxIdlePerHost int
+	// IsSingleUse closes each connection after one request.
+	IsSingleUse bool
+	// DisablesCompression makes the client not ask for compressed responses.
+	DisablesCompression bool
+	// ReturnsRedirects returns redirects instead of following them.
+	ReturnsRedirects bool
+}
+
+// New returns a client.
+func New(cfg Config) *http.Client {
+	out := &http.Client{Transport: &http.Transport{
+		DialContext:            withWriteErrors(cfg.Dial),
+		MaxResponseHeaderBytes: MaxHead,
+		MaxIdleConnsPerHost:    cfg.MaxIdlePerHost,
+		DisableKeepAlives:      cfg.IsSingleUse,
+		DisableCompression:     cfg.DisablesCompression,
+	}}
+	if cfg.ReturnsRedirects {
+		out.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	}
+	return out
 }
--- a/router/conns/head_test.go
+++ b/router/conns/head_test.go
@@ -1,11 +1,17 @@
 package conns_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
+	"time"
+
+	"cicadastand.dev/router/conns"
 )
 
 // An endpoint stops in the middle of the head of its response and closes the connection. The
@@ -34,3 +40,68 @@
 		})
 	}
 }
+
+// earlyEndpoint answers the head of each request with fixed bytes, and resets the connection after a
+// pause if that is set.
+type earlyEndpoint struct {
+	listener net.Listener
+	answer   string
+	pause    time.Duration
+	resets   bool
+}
+
+func (e *earlyEndpoint) run() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.loop(conn)
+	}
+}
+
+func (e *earlyEndpoint) loop(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, e.answer)
+	time.Sleep(e.pause) // the upload goes on meanwhile
+	if tcp, ok := conn.(*net.TCPConn); ok && e.resets {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+func startEarly(t *testing.T, e *earlyEndpoint) conns.Target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e.listener = l
+	go e.run()
+	return conns.Target{Incarnation: "i", Address: netip.MustParseAddrPort(l.Addr().String())}
+}
+
+// An endpoint answers a long upload at once, without a length, and resets the connection after a part
+// of the body. The part is not complete.
+func TestPartOfABodyIsNotCompleteIfTheUploadIsReset(t *testing.T) {
+	for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+		to := startEarly(t, &earlyEndpoint{answer: "HTTP/1.1 200 OK\r\nId: r\r\n\r\na part", pause: pause, resets: true})
+		for range 20 {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			req := request("r")
+			req.Body = make([]byte, 4<<20)
+			resp, err := pool(t).Send(ctx, to, req, isResponseTo)
+			if err == nil {
+				_, err = io.ReadAll(resp)
+				resp.Close()
+			}
+			cancel()
+			if err == nil {
+				t.Errorf("a part was taken for the whole body, reset after %v", pause)
+			}
+		}
+	}
+}
--- a/router/invoke/wire.go
+++ b/router/invoke/wire.go
@@ -43,14 +43,13 @@
 	}
 	s := &singleUseClient{conn: conn}
 	var used sync.Once
-	transport := httpc.NewTransport(func(context.Context, string, string) (net.Conn, error) {
+	dialUsed := func(context.Context, string, string) (net.Conn, error) {
 		err := errors.New("the connection was already used")
 		var out net.Conn
 		used.Do(func() { out, err = conn, nil })
 		return out, err
-	})
-	transport.DisableKeepAlives = true
-	s.client = &http.Client{Transport: transport, CheckRedirect: returnRedirect}
+	}
+	s.client = httpc.New(httpc.Config{Dial: dialUsed, IsSingleUse: true, ReturnsRedirects: true})
 	return s, nil
 }
 
@@ -67,13 +66,8 @@
 
 func (s *singleUseClient) close() { _ = s.conn.Close() }
 
-// returnRedirect makes a client return a redirect instead of following it.
-func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 func newRetryableClient(dial dialer.Func) *http.Client {
-	transport := httpc.NewTransport(dial)
-	transport.MaxIdleConnsPerHost = idleConnsPerService
-	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
+	return httpc.New(httpc.Config{Dial: dial, MaxIdlePerHost: idleConnsPerService, ReturnsRedirects: true})
 }
 
 func newRequest(ctx context.Context, req *Request, e fleet.Endpoint) (*http.Request, error) {
--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -74,11 +74,9 @@
 
 // New returns a prober; Run starts it.
 func New(cfg Config) *Prober {
-	transport := httpc.NewTransport(cfg.Dial)
-	transport.MaxIdleConnsPerHost = 2
 	return &Prober{
 		cfg:     cfg,
-		http:    &http.Client{Transport: transport},
+		http:    httpc.New(httpc.Config{Dial: cfg.Dial, MaxIdlePerHost: 2}),
 		jobs:    make(chan fleet.Endpoint),
 		busy:    make(map[string]bool),
 		cursors: make(map[string]cursor),
--- a/router/roll/roll.go
+++ b/router/roll/roll.go
@@ -68,7 +68,7 @@
 
 // New returns a runner; Run starts it.
 func New(cfg Config) *Runner {
-	return &Runner{cfg: cfg, http: &http.Client{Transport: httpc.NewTransport(cfg.Dial)}, inProgress: make(map[string]bool)}
+	return &Runner{cfg: cfg, http: httpc.New(httpc.Config{Dial: cfg.Dial}), inProgress: make(map[string]bool)}
 }
 
 // Run sends orders until ctx ends, and returns when those in progress have ended.
--- a/router/send/send.go
+++ b/router/send/send.go
@@ -88,11 +88,9 @@
 
 // New returns a Dispatcher and registers its metrics.
 func New(cfg Config) *Dispatcher {
-	transport := httpc.NewTransport(cfg.Dial)
-	transport.MaxIdleConnsPerHost = idleConnsPerEngine
 	return &Dispatcher{
 		cfg:          cfg,
-		http:         &http.Client{Transport: transport},
+		http:         httpc.New(httpc.Config{Dial: cfg.Dial, MaxIdlePerHost: idleConnsPerEngine}),
 		retries:      retry.NewSet(retry.DefaultConfig()),
 		resumes:      retry.NewSet(resumeBudget),
 		ownerHitRate: route.NewHitRate(),
