Reject responses whose status is none

An engine in trouble sent an answer with status 000. In the own mode the caller got it as an answer, and for a completion it counted as "not run".

Cause: the parser takes any three digits, and only "at least 200" was asked of a status afterwards. Now 200 to 599 are final, 1xx but 101 interim, and any other status is an error of the connection, in all clients: httpc for those of the standard library, conns for endpoints, share between hosts.

--- a/core/trans/httpc/httpc.go
+++ b/core/trans/httpc/httpc.go
@@ -23,15 +23,15 @@
 	ReturnsRedirects bool
 }
 
-// New returns a client.
+// New returns a client. Its errors wrap an ErrStatus for a status that no final response has.
 func New(cfg Config) *http.Client {
-	out := &http.Client{Transport: &http.Transport{
+	out := &http.Client{Transport: &transport{Transport: &http.Transport{
 		DialContext:            withWriteErrors(cfg.Dial),
 		MaxResponseHeaderBytes: MaxHead,
 		MaxIdleConnsPerHost:    cfg.MaxIdlePerHost,
 		DisableKeepAlives:      cfg.IsSingleUse,
 		DisableCompression:     cfg.DisablesCompression,
-	}}
+	}}}
 	if cfg.ReturnsRedirects {
 		out.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	}
--- a/router/conns/conns.go
+++ b/router/conns/conns.go
@@ -248,9 +248,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if httpc.IsInterim(resp.StatusCode) {
+			continue
+		}
+		if err := httpc.CheckStatus(resp.StatusCode); err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
 		}
+		return resp, nil
 	}
 	return nil, errInterim
 }
--- a/router/conns/head_test.go
+++ b/router/conns/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cicadastand.dev/core/trans/httpc"
 	"cicadastand.dev/router/conns"
 )
 
@@ -48,6 +50,8 @@
 	answer   string
 	pause    time.Duration
 	resets   bool
+	// holds is set if the connection stays open until the other side closes it.
+	holds bool
 }
 
 func (e *earlyEndpoint) run() {
@@ -66,6 +70,9 @@
 		return
 	}
 	_, _ = io.WriteString(conn, e.answer)
+	if e.holds {
+		_, _ = io.Copy(io.Discard, conn)
+	}
 	time.Sleep(e.pause) // the upload goes on meanwhile
 	if tcp, ok := conn.(*net.TCPConn); ok && e.resets {
 		_ = tcp.SetLinger(0)
@@ -84,6 +91,23 @@
 	return conns.Target{Incarnation: "i", Address: netip.MustParseAddrPort(l.Addr().String())}
 }
 
+// An endpoint in trouble sends a status that no response can have, and keeps the connection open. That
+// was taken for an interim response, after which another one is awaited, or passed on.
+func TestStatusOutsideTheProtocolIsAnErrorAtOnce(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			to := startEarly(t, &earlyEndpoint{answer: "HTTP/1.1 " + status + " Odd\r\nId: r\r\nContent-Length: 2\r\n\r\nok", holds: true})
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			_, err := pool(t).Send(ctx, to, request("r"), isResponseTo)
+			var invalid *httpc.ErrStatus
+			if !errors.As(err, &invalid) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
 // An endpoint answers a long upload at once, without a length, and resets the connection after a part
 // of the body. The part is not complete.
 func TestPartOfABodyIsNotCompleteIfTheUploadIsReset(t *testing.T) {
--- a/router/share/forward.go
+++ b/router/share/forward.go
@@ -17,6 +17,7 @@
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/proto/loadpb"
+	"cicadastand.dev/core/trans/httpc"
 )
 
 const (
@@ -103,6 +104,10 @@
 		cancel()
 		return nil, fmt.Errorf("%w: %s", errNotRun, first.GetReason())
 	}
+	if err := httpc.CheckStatus(int(first.GetStatus())); err != nil {
+		cancel()
+		return nil, fmt.Errorf("forward request to %s: %w", peer.Name, err)
+	}
 	body := &partReader{stream: stream, cancel: cancel, buf: first.GetBody()}
 	return &call.ForwardedResponse{Host: peer.Name, Status: int(first.GetStatus()), Header: headerFrom(first.GetHeader()), Body: body}, nil
 }
