Do not overwrite the state of an era without knowing it

A lead host that has just started, and whose read of the state of the era failed, would have written that records may be missing although another host had written that they are whole. Hosts that start later would then have refused streams without a record for up to 30 s. Found by reading; a case of TestRecordsAreWholeUnlessTheStoreMayHaveBeenRestored covers it. A host states something only if it knows it.

New test TestHostOfThePreviousReleaseHoldsNoCopies.

--- a/core/coord/origin/copies_test.go
+++ b/core/coord/origin/copies_test.go
@@ -130,6 +130,8 @@
 	later := origin.New(origin.Config{Retention: retention, Started: 1})
 	later.SetEra(4, 2)
 	is.True(!later.IsWhole(3)) // it may have been restored just before
+	_, ok := later.EraState(3)
+	is.True(!ok) // another host may know better
 	is.True(later.NeedsEraState(3))
 	later.SetEraState(feed.EraState{Read: 4, Era: 3, IsWhole: true})
 	is.True(!later.IsWhole(3))
--- a/router/share/forward_test.go
+++ b/router/share/forward_test.go
@@ -11,7 +11,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
+	"google.golang.org/grpc"
+
 	"cicadastand.dev/core/proto/call"
+	"cicadastand.dev/core/proto/feed"
+	"cicadastand.dev/core/proto/loadpb"
 )
 
 // One of two other hosts accepts connections and says nothing, as one that is partitioned may
@@ -38,3 +42,22 @@
 		is.True(time.Since(started) < time.Second)
 	}
 }
+
+// Hosts of the previous release run beside this one. They hold no copies of origins, which must not
+// keep streams from beginning, and say that they can't tell where one began.
+func TestHostOfThePreviousReleaseHoldsNoCopies(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	previous := grpc.NewServer()
+	loadpb.RegisterLoadServer(previous, loadpb.UnimplementedLoadServer{})
+	go func() { _ = previous.Serve(l) }()
+	t.Cleanup(previous.Stop)
+	hosts := domainHosts(t)[:2]
+	hosts[1].Address = l.Addr().String()
+	first := startHost(t, hosts, 0, metrics.NewSet())
+	is.NoErr(first.CopyOrigins(context.Background(), []feed.Origin{{Stream: 1, Build: "v2"}}))
+	said := first.AskOrigin(context.Background(), "engines", 1)
+	is.Equal(len(said), 2)
+	is.True(said[1].IsUnable && !said[1].HasBuild)
+}
--- a/router/share/place_test.go
+++ b/router/share/place_test.go
@@ -14,6 +14,7 @@
 
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
+	"cicadastand.dev/core/coord/origin"
 	"cicadastand.dev/core/coord/pause"
 	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
@@ -109,7 +110,7 @@
 	t.Helper()
 	s := share.New(share.Config{
 		Clock: clock.Real{}, Self: hosts[at], Hubs: table, Store: store, Mirror: limitedMirror(t), Loads: load.New(time.Second),
-		Poison: poison.New(poison.Config{Retention: time.Second}), Taint: taint.New(taint.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(), Room: room.New(), Speeds: speeds, Lease: noLease{}, Serve: serveTeapot,
+		Poison: poison.New(poison.Config{Retention: time.Second}), Taint: taint.New(taint.Config{Retention: time.Second}), CacheIndex: kvmap.New(), PlacementUpdates: kvmap.NewOutbox(), Pauses: pause.New(), Room: room.New(), Speeds: speeds, Lease: noLease{}, Serve: serveTeapot, Origins: noOrigins{},
 		Interval: time.Second, Logger: hclog.NewNullLogger(), Metrics: set,
 	})
 	if err := s.Listen(context.Background()); err != nil {
@@ -126,6 +127,13 @@
 	return err
 }
 
+// noOrigins knows where no stream began.
+type noOrigins struct{}
+
+func (noOrigins) KeepCopies([]feed.Origin) {}
+
+func (noOrigins) State(string, feed.StreamKey) origin.Statement { return origin.Statement{} }
+
 // noLease is the lease of a host that never holds it.
 type noLease struct{}
 
