--- a/router/keep/era.go
+++ b/router/keep/era.go
@@ -5,8 +5,6 @@
 	"slices"
 
 	"github.com/samber/lo"
-
-	"cicadastand.dev/core/proto/feed"
 )
 
 // receiveEra writes again what this host knows if the store was restored from a copy, which lacks
