Let clients without a dialer connect

httpc.New dereferenced a nil dialer where the transport of before used a plain one; the clients of the log in core's tests have none. The tests of httpc use a client without a dialer now.

--- a/core/trans/httpc/early_test.go
+++ b/core/trans/httpc/early_test.go
@@ -8,13 +8,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"cicadastand.dev/core/trans/dialer"
 	"cicadastand.dev/core/trans/httpc"
 )
 
@@ -85,7 +83,7 @@
 	return string(body), err
 }
 
-func newClient() *http.Client { return httpc.New(httpc.Config{Dial: dialer.From(netip.Addr{})}) }
+func newClient() *http.Client { return httpc.New(httpc.Config{}) }
 
 // A server answers a long upload at once, without a length, sends a part of the body and resets the
 // connection while the upload is written. The part was taken for the whole body.
--- a/core/trans/httpc/httpc.go
+++ b/core/trans/httpc/httpc.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 
 	"cicadastand.dev/core/trans/dialer"
 )
@@ -12,6 +13,7 @@
 
 // Config configures a client.
 type Config struct {
+	// Dial opens connections; nil for a plain dialer.
 	Dial dialer.Func
 	// MaxIdlePerHost limits the idle connections to one address; 0 for the default of package http.
 	MaxIdlePerHost int
@@ -25,6 +27,9 @@
 
 // New returns a client. Its errors wrap an ErrStatus for a status that no final response has.
 func New(cfg Config) *http.Client {
+	if cfg.Dial == nil {
+		cfg.Dial = dialer.From(netip.Addr{})
+	}
 	out := &http.Client{Transport: &transport{Transport: &http.Transport{
 		DialContext:            withWriteErrors(cfg.Dial),
 		MaxResponseHeaderBytes: MaxHead,
