--- a/router/hosted/hosted.go
+++ b/router/hosted/hosted.go
@@ -18,17 +18,14 @@
 	"cicadastand.dev/core/coord/hold"
 	"cicadastand.dev/core/coord/hubs"
 	"cicadastand.dev/core/coord/load"
-	"cicadastand.dev/core/coord/origin"
 	"cicadastand.dev/core/coord/pace"
 	"cicadastand.dev/core/coord/pause"
-	"cicadastand.dev/core/coord/place"
 	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/quota"
 	"cicadastand.dev/core/coord/reach"
 	"cicadastand.dev/core/coord/room"
 	"cicadastand.dev/core/coord/speed"
 	"cicadastand.dev/core/coord/taint"
-	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/proto/feed"
 	"cicadastand.dev/core/state/clock"
 	"cicadastand.dev/core/state/kvmap"
@@ -379,36 +376,6 @@
 	return !lo.SomeBy(lo.Values(config.Services), func(s *site.Service) bool { return s.Engine != nil && h.reach.IsCutOff(s.Name) })
 }
 
-// Forward has another host serve a request.
-func (h *Host) Forward(ctx context.Context, req call.Forwarded) (*call.ForwardedResponse, error) {
-	return h.share.Forward(ctx, req)
-}
-
-// CopyOrigins has other hosts hold copies of origins of streams.
-func (h *Host) CopyOrigins(ctx context.Context, origins []feed.Origin) error {
-	return h.share.CopyOrigins(ctx, origins)
-}
-
-// AskOrigin returns what hosts say of the origin of a stream.
-func (h *Host) AskOrigin(ctx context.Context, service string, stream feed.StreamKey) []origin.Statement {
-	return h.share.AskOrigin(ctx, service, stream)
-}
-
-// Place asks the hub of the failure domain to place a request.
-func (h *Host) Place(ctx context.Context, q place.Query) (place.Decision, bool) {
-	return h.share.Place(ctx, q)
-}
-
-// Spend charges a request to the limit of its account.
-func (h *Host) Spend(ctx context.Context, account string, limit site.Limit, units float64) quota.Decision {
-	return h.share.Spend(ctx, account, limit, units)
-}
-
-// ReturnUnits gives back the units of a request that has not run.
-func (h *Host) ReturnUnits(account string, d quota.Decision, units float64) {
-	h.share.ReturnUnits(account, d, units)
-}
-
 // isPartitioned reports whether this host receives nothing from any other host.
 func (h *Host) isPartitioned() bool { return h.share.IsPartitioned() }
 
