Show that a client that ends its side of the channel gets a success that no engine gave

Cause: the relay returns without an answer for a request whose context has ended, and the HTTP server then writes 200 with an empty body, or the last chunk of a stream.

--- a/review/trial/engine.go
+++ b/review/trial/engine.go
@@ -29,6 +29,8 @@
 	beats atomic.Int64
 	// work is the time that a request takes.
 	work time.Duration
+	// delay returns the work of each request instead, if it is set.
+	delay func() time.Duration
 	// intercept answers a request in another way, on its connection, and reports whether it did.
 	intercept func(e *engine, conn net.Conn, r *http.Request) bool
 
@@ -153,7 +155,11 @@
 		}
 	}
 	e.w.runs.add(id, e.id)
-	time.Sleep(e.work) // the work of the request
+	work := e.work
+	if e.delay != nil {
+		work = e.delay()
+	}
+	time.Sleep(work) // the work of the request
 	h := rw.Header()
 	h.Set("X-Request-Id", id)
 	h.Set("X-Response-Seal", "seal."+e.id+"."+id)
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -27,6 +27,7 @@
 	"drill":   runDrill,
 	"piece":   runPiece,
 	"revoked": runRevoked,
+	"leave":   runLeave,
 	"heads":   runHeads,
 }
 
