--- a/core/coord/taint/taint.go
+++ b/core/coord/taint/taint.go
@@ -155,27 +155,29 @@
 	t.report(changes, false)
 }
 
-// RecordFirstEvent dismisses the pairs of the parts of a request that has its first event.
-func (t *Table) RecordFirstEvent(parts []string, now time.Duration) {
+// RecordFirstEvent dismisses the pairs of the parts of a request that has its first event, and
+// returns their number.
+func (t *Table) RecordFirstEvent(parts []string, now time.Duration) int {
 	t.mu.Lock()
-	dismissed := false
+	dismissed := 0
 	for _, part := range parts {
 		t.markSound(part, now)
 		e := t.parts[part]
 		if e == nil || e.open == 0 {
 			continue
 		}
-		dismissed = true
+		dismissed += e.open
 		for _, p := range e.pairs {
 			t.dismiss(p, now)
 		}
 	}
 	var changes []Change
-	if dismissed {
+	if dismissed > 0 {
 		changes = t.decide()
 	}
 	t.mu.Unlock()
 	t.report(changes, false)
+	return dismissed
 }
 
 // Merge adds the pairs of another host.
--- a/router/relay/crash.go
+++ b/router/relay/crash.go
@@ -152,7 +152,12 @@
 
 // suspectCrash records that an endpoint broke off the request before its first event.
 func (j *job) suspectCrash(c choice, err error) {
-	if j.started || len(j.shared) == 0 || !j.isModel() || !isDisconnect(err) {
+	if len(j.shared) == 0 || !j.isModel() || !isDisconnect(err) {
+		return
+	}
+	if j.started {
+		j.r.cfg.Logger.Info("break of a response that had begun is not counted against its prompt parts", "id", j.params.ID,
+			"endpoint", c.endpoint.ID, "event", j.lastEvent, "parts", j.shared, "error", err)
 		return
 	}
 	j.confirmation = j.r.crashes.suspect(c.endpoint, suspectRequest{id: j.params.ID, parts: j.shared})
@@ -178,7 +183,10 @@
 // recordSound records that the parts of the request's prompt crash no engine.
 func (j *job) recordSound() {
 	if len(j.shared) > 0 && j.isModel() {
-		j.r.cfg.Taint.RecordFirstEvent(j.shared, j.r.cfg.Clock.Boot())
+		if dismissed := j.r.cfg.Taint.RecordFirstEvent(j.shared, j.r.cfg.Clock.Boot()); dismissed > 0 {
+			j.r.cfg.Logger.Info("crashes no longer count against prompt parts after a first event", "id", j.params.ID,
+				"endpoint", j.endpoint, "parts", j.shared, "crashes", dismissed)
+		}
 	}
 }
 
