--- a/core/coord/poison/poison.go
+++ b/core/coord/poison/poison.go
@@ -65,6 +65,14 @@
 	return nil
 }
 
+// IsSuspect reports whether a request was in flight during a crash.
+func (t *Table) IsSuspect(fp Fingerprint, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.suspect(fp, now)
+	return ok
+}
+
 // Start records that a request runs on an endpoint. It returns false, and records
 // nothing, if the request is a suspect and the endpoint already runs a suspect.
 func (t *Table) Start(endpoint string, fp Fingerprint, now time.Time) bool {
--- a/core/coord/taint/answer.go
+++ b/core/coord/taint/answer.go
@@ -50,23 +50,19 @@
 // RanFor returns the time since the first event; not 0, which stands for no event.
 func (a *Answer) RanFor(now time.Duration) time.Duration { return max(now-a.began, precision) }
 
-// End records that the answer has ended, and returns the number of pairs that this dismisses.
-// isWhole is set if its endpoint is known to have sent it to its end.
-func (a *Answer) End(isWhole bool, now time.Duration) (dismissed int) {
+// End records that the answer has no more events. RecordWhole is to be called too if its endpoint
+// is known to have sent it to its end.
+func (a *Answer) End() {
 	t := a.table
 	t.mu.Lock()
 	delete(t.live, a)
 	// It may have contested crashes.
 	var changes []Change
-	if !isWhole && slices.ContainsFunc(a.parts, func(part string) bool { return t.crowded[part] != nil }) {
+	if slices.ContainsFunc(a.parts, func(part string) bool { return t.crowded[part] != nil }) {
 		changes = t.decide()
 	}
 	t.mu.Unlock()
 	t.report(changes, false)
-	if isWhole {
-		return t.RecordWhole(a.parts, now)
-	}
-	return 0
 }
 
 // RecordWhole records that an endpoint sent an answer to a request with the parts to its end. It
--- a/core/coord/taint/load_test.go
+++ b/core/coord/taint/load_test.go
@@ -45,7 +45,8 @@
 	var live []*soundAnswer
 	for _, a := range l.answers {
 		if now-a.began >= l.length {
-			a.answer.End(true, at(now))
+			a.h.RecordWhole(a.prompt, at(now))
+			a.answer.End()
 			continue
 		}
 		if (now-a.began)%eventInterval == 0 && now > a.began {
@@ -72,7 +73,7 @@
 			continue
 		}
 		ran := a.answer.RanFor(at(l.now))
-		a.answer.End(false, at(l.now))
+		a.answer.End()
 		if ran < taint.SettledTime {
 			a.h.RecordCrash(endpoint, a.prompt, ran, at(l.now))
 		}
@@ -158,7 +159,7 @@
 	for n := range 3 {
 		is.True(!h.rejects("document"))
 		a := h.Begin(prompt, at(500*n))
-		a.End(false, at(500*n+500))
+		a.End()
 		h.RecordCrash(fmt.Sprint("e", n), prompt, 500*time.Millisecond, at(500*n+500))
 	}
 	a := h.Begin(prompt, at(2000))
@@ -171,7 +172,7 @@
 	is.True(!h.rejects("document"))
 	h.RecordCrash("e5", prompt, 100*time.Millisecond, at(2900)) // dismissed by what is known
 	is.Equal(a.Progress(at(3000)), 1)
-	a.End(false, at(3000))
+	a.End()
 }
 
 // Hosts learn of a crash, and of an answer that outlived it, in any order. All end up with the
--- a/router/hosted/cluster_test.go
+++ b/router/hosted/cluster_test.go
@@ -232,6 +232,7 @@
 			chat,
 			route("order", "non_idempotent", "shop", 2),
 			route("lookup", "idempotent", "shop", 2),
+			route("ask", "idempotent", "engines", 2),
 		},
 		"services": []any{
 			map[string]any{"name": "engines", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "token_kv_bytes": 327680, "link_mbps": 1100000, "models": []any{map[string]any{"name": "m"}}}},
--- a/router/hosted/taint_test.go
+++ b/router/hosted/taint_test.go
@@ -157,12 +157,12 @@
 // part with them. Only the requests with that part are rejected, after few crashes, also if
 // the engines send the first event of each answer before they crash.
 func TestPromptPartThatCrashesEnginesIsNotSentOn(t *testing.T) {
-	for name, how := range map[string]server.Behavior{"before-the-first-event": server.Crash, "after-the-first-event": server.CrashInStream} {
-		t.Run(name, func(t *testing.T) { testPartIsNotSentOn(t, how) })
+	for name, how := range map[string]server.Behavior{"before-the-first-event": server.Crash, "after-the-first-event": server.CrashInStream, "at-an-end-without-error": server.CrashUnframed} {
+		t.Run(name, func(t *testing.T) { testPartIsNotSentOn(t, "/chat/", how) })
 	}
 }
 
-func testPartIsNotSentOn(t *testing.T, how server.Behavior) {
+func testPartIsNotSentOn(t *testing.T, path string, how server.Behavior) {
 	is := is.New(t)
 	c := newCluster(t, 3)
 	engines := c.startCrashing(12, how)
@@ -179,7 +179,7 @@
 	}
 	tainted := func(n int) response {
 		id := fmt.Sprint("tainted-", n)
-		return c.sendPrompt(c.hosts[n%len(c.hosts)], "POST", "/chat/", id, "key", id, fmt.Sprintf("aa:800,%s:400,e%d:100", taintedPart, n))
+		return c.sendPrompt(c.hosts[n%len(c.hosts)], "POST", path, id, "key", id, fmt.Sprintf("aa:800,%s:400,e%d:100", taintedPart, n))
 	}
 	const requests = 15
 	for n := range requests {
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -283,7 +283,7 @@
 		return j.recordPossibleCrash(fmt.Sprintf("endpoint %s cut its answer: %v", c.endpoint.ID, err), err)
 	}
 	if success {
-		j.recordWhole()
+		j.recordWhole(c, resp)
 	}
 	full := &response{status: resp.Status, header: resp.Header, body: body, length: int64(len(body))}
 	if !complete {
@@ -301,9 +301,6 @@
 		j.r.cfg.Poison.RecordCrash(j.fingerprint, j.r.cfg.Clock.Now())
 		return false, newRejection(http.StatusBadGateway, 0, "endpoint %s did not complete its answer: %v", c.endpoint.ID, err)
 	}
-	if success {
-		j.r.cfg.Poison.RecordCompletion(j.fingerprint)
-	}
 	return false, nil
 }
 
--- a/router/relay/crash.go
+++ b/router/relay/crash.go
@@ -14,6 +14,7 @@
 
 	"github.com/samber/lo"
 
+	"cicadastand.dev/core/coord/poison"
 	"cicadastand.dev/core/coord/taint"
 	"cicadastand.dev/core/proto/call"
 	"cicadastand.dev/core/state/site"
@@ -61,12 +62,16 @@
 	ended chan struct{}
 }
 
-// suspectRequest is a request that its endpoint broke off before the answer had settled.
+// suspectRequest is a request that its endpoint broke off before the answer had settled, or may
+// have.
 type suspectRequest struct {
-	id    string
-	parts []string
+	id          string
+	fingerprint poison.Fingerprint
+	parts       []string
 	// ran is the time since the first event of the answer; 0 if there was none.
 	ran time.Duration
+	// mayBeWhole is set if the answer looks whole: it is, unless the endpoint has crashed.
+	mayBeWhole bool
 }
 
 // incarnation identifies one start of an endpoint, which may keep its ID.
@@ -85,7 +90,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, ok := c.confirmed[key]; ok {
-		c.r.cfg.Taint.RecordCrash(key, s.parts, s.ran, c.r.cfg.Clock.Boot())
+		c.recordCrash(key, s)
 		return nil
 	}
 	if running := c.running[key]; running != nil {
@@ -122,12 +127,14 @@
 		c.confirmed[f.incarnation] = f.target.Incarnation
 	}
 	c.mu.Unlock()
+	if err == nil {
+		c.recordWhole(f.suspects)
+	}
 	if !crashed {
 		return
 	}
-	now := c.r.cfg.Clock.Boot()
 	for _, s := range f.suspects {
-		c.r.cfg.Taint.RecordCrash(f.incarnation, s.parts, s.ran, now)
+		c.recordCrash(f.incarnation, s)
 	}
 	parts := lo.Uniq(lo.FlatMap(f.suspects, func(s suspectRequest, _ int) []string { return s.parts }))
 	slices.Sort(parts)
@@ -136,6 +143,29 @@
 		"requests", len(f.suspects), "parts", parts, "ms-after-first-event", longest.Milliseconds(), "error", err)
 }
 
+// recordCrash records a crash against a request. One that was broken off is counted for its
+// fingerprint when that happens.
+func (c *crashes) recordCrash(incarnation string, s suspectRequest) {
+	if s.ran < taint.SettledTime {
+		c.r.cfg.Taint.RecordCrash(incarnation, s.parts, s.ran, c.r.cfg.Clock.Boot())
+	}
+	if s.mayBeWhole {
+		c.r.cfg.Poison.RecordCrash(s.fingerprint, c.r.cfg.Clock.Now())
+	}
+}
+
+// recordWhole records the answers that look whole, from an endpoint that has not crashed.
+func (c *crashes) recordWhole(suspects []suspectRequest) {
+	for _, s := range suspects {
+		if s.mayBeWhole {
+			c.r.cfg.Poison.RecordCompletion(s.fingerprint)
+			if crashes := c.r.cfg.Taint.RecordWhole(s.parts, c.r.cfg.Clock.Boot()); crashes > 0 {
+				c.r.logDismissed(crashes, s.id, s.parts)
+			}
+		}
+	}
+}
+
 // PruneCrashes removes the crashes of endpoints that are no longer listed.
 func (r *Relay) PruneCrashes(known func(endpoint string) bool) {
 	r.crashes.mu.Lock()
@@ -159,16 +189,24 @@
 	if !j.hasSharedParts() || !isDisconnect(err) {
 		return
 	}
-	var ran time.Duration
-	if j.answer != nil {
-		ran = j.answer.RanFor(j.r.cfg.Clock.Boot())
-	}
-	if ran >= taint.SettledTime {
+	s := j.suspectRequest()
+	if s.ran >= taint.SettledTime {
 		j.r.cfg.Logger.Info("break of an answer that had settled is not counted against its prompt parts", "id", j.params.ID,
-			"endpoint", c.endpoint.ID, "event", j.lastEvent, "ms-after-first-event", ran.Milliseconds(), "parts", j.shared, "error", err)
+			"endpoint", c.endpoint.ID, "event", j.lastEvent, "ms-after-first-event", s.ran.Milliseconds(), "parts", j.shared, "error", err)
 		return
 	}
-	j.confirmation = j.r.crashes.suspect(c.endpoint, suspectRequest{id: j.params.ID, parts: j.shared, ran: ran})
+	j.confirmation = j.r.crashes.suspect(c.endpoint, s)
+}
+
+func (j *job) suspectRequest() suspectRequest {
+	s := suspectRequest{id: j.params.ID, fingerprint: j.fingerprint}
+	if j.hasSharedParts() {
+		s.parts = j.shared
+	}
+	if j.answer != nil {
+		s.ran = j.answer.RanFor(j.r.cfg.Clock.Boot())
+	}
+	return s
 }
 
 // awaitConfirmation waits for the confirmation of the crash that the last attempt has met, so
@@ -196,34 +234,52 @@
 	now := j.r.cfg.Clock.Boot()
 	switch {
 	case j.answer != nil:
-		j.logDismissed(j.answer.Progress(now))
+		if crashes := j.answer.Progress(now); crashes > 0 {
+			j.r.logDismissed(crashes, j.params.ID, j.shared)
+		}
 	case j.hasSharedParts():
 		j.answer = j.r.cfg.Taint.Begin(j.shared, now)
 	}
 }
 
-// endAnswer records the end of the answer of the current attempt.
-func (j *job) endAnswer(isWhole bool) {
+// endAnswer records that the streamed answer of the current attempt has no more events.
+func (j *job) endAnswer() {
 	if j.answer != nil {
-		j.logDismissed(j.answer.End(isWhole, j.r.cfg.Clock.Boot()))
+		j.answer.End()
 		j.answer = nil
 	}
 }
 
-// recordWhole records that an endpoint has sent an answer without events to its end.
-func (j *job) recordWhole() {
-	if j.hasSharedParts() {
-		j.logDismissed(j.r.cfg.Taint.RecordWhole(j.shared, j.r.cfg.Clock.Boot()))
+// recordWhole records an answer that an endpoint has sent to its end.
+func (j *job) recordWhole(c choice, resp *conns.Response) {
+	if resp.Unframed {
+		j.confirmWhole(c)
+		return
+	}
+	j.r.cfg.Poison.RecordCompletion(j.fingerprint)
+	if !j.hasSharedParts() {
+		return
+	}
+	if crashes := j.r.cfg.Taint.RecordWhole(j.shared, j.r.cfg.Clock.Boot()); crashes > 0 {
+		j.r.logDismissed(crashes, j.params.ID, j.shared)
 	}
 }
 
-func (j *job) logDismissed(crashes int) {
-	if crashes > 0 {
-		j.r.cfg.Logger.Info("crashes no longer count against prompt parts, an answer went on for longer", "id", j.params.ID,
-			"endpoint", j.endpoint, "event", j.lastEvent, "parts", j.shared, "crashes", crashes)
+// confirmWhole finds out whether an endpoint has crashed whose answer had neither a length nor
+// chunks and ended with its connection: a crash may end it in the same way. Until then the end is
+// evidence of nothing.
+func (j *job) confirmWhole(c choice) {
+	s := j.suspectRequest()
+	s.mayBeWhole = true
+	if j.isModel() || j.r.cfg.Poison.IsSuspect(j.fingerprint, j.r.cfg.Clock.Now()) {
+		j.r.crashes.suspect(c.endpoint, s)
 	}
 }
 
+func (r *Relay) logDismissed(crashes int, id string, parts []string) {
+	r.cfg.Logger.Info("crashes no longer count against prompt parts, an answer went on for longer", "id", id, "parts", parts, "crashes", crashes)
+}
+
 // checkParts rejects a request with a part that crashes engines. A stream that has begun
 // has no such part.
 func (j *job) checkParts() error {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -122,7 +122,7 @@
 	}
 	source := j.newEventReader(resp)
 	defer source.held.release()
-	defer j.endAnswer(false)
+	defer j.endAnswer()
 	first := true
 	for {
 		event, err := source.next()
@@ -130,9 +130,7 @@
 			if first {
 				j.suspectCrash(c, err)
 			}
-			// An answer without a length or chunks also ends so if its engine crashes.
-			j.endAnswer(!resp.Unframed)
-			return j.endStream(first && (!j.started || j.partial || resp.Unframed), c)
+			return j.endStream(first, c, resp)
 		}
 		if err != nil {
 			if errors.Is(context.Cause(ctx), errCutOff) {
@@ -174,14 +172,19 @@
 	}
 }
 
-// endStream records the result of a stream that the endpoint sent to its end. missing is set
-// if it sent no event though there must be one.
-func (j *job) endStream(missing bool, c choice) (retry bool, fault *rejection) {
-	if missing {
+// endStream records the result of a stream that the endpoint ended after an event, or without any
+// if isEmpty is set: all of the stream may have been sent before.
+func (j *job) endStream(isEmpty bool, c choice, resp *conns.Response) (retry bool, fault *rejection) {
+	switch {
+	case isEmpty && (!j.started || j.partial || resp.Unframed):
 		return j.recordPossibleCrash(fmt.Sprintf("endpoint %s sent no event", c.endpoint.ID), nil)
+	case isEmpty:
+		// The endpoint had nothing to write, so this says nothing of the prompt.
+		j.r.cfg.Poison.RecordCompletion(j.fingerprint)
+	default:
+		j.recordWhole(c, resp)
 	}
 	j.outcome = "200"
-	j.r.cfg.Poison.RecordCompletion(j.fingerprint)
 	return false, nil
 }
 
--- a/stand/server/server.go
+++ b/stand/server/server.go
@@ -93,6 +93,11 @@
 	Crash
 	// CrashInStream executes the request and crashes one pause after the first event.
 	CrashInStream
+	// CrashUnframed is like CrashInStream, with neither a length nor chunks: the end of the
+	// connection is all that there is to see.
+	CrashUnframed
+	// CrashInLongBody is like BreakLongBody, but crashes within the body.
+	CrashInLongBody
 )
 
 const (
@@ -270,6 +275,10 @@
 	case behavior == BreakLongBody:
 		e.writeBody(w, brokenBody)
 		panic(http.ErrAbortHandler)
+	case behavior == CrashInLongBody:
+		e.writeBody(w, brokenBody)
+		e.cfg.Crash()
+		panic(http.ErrAbortHandler)
 	case behavior == SendEndlessBody:
 		e.writeBody(w, math.MaxInt)
 	case behavior == Crash:
@@ -306,6 +315,9 @@
 
 func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, behavior Behavior) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if behavior == CrashUnframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	w.Header().Set("X-Weight-Versions", strconv.Itoa(e.Version()))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	control := http.NewResponseController(w)
@@ -324,7 +336,7 @@
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", id, id)
 		_ = control.Flush()
-		if behavior == CrashInStream {
+		if behavior == CrashInStream || behavior == CrashUnframed {
 			time.Sleep(e.cfg.Pause) // the event arrives meanwhile
 			e.cfg.Crash()
 			panic(http.ErrAbortHandler)
