--- a/router/hosted/taint_test.go
+++ b/router/hosted/taint_test.go
@@ -162,6 +162,11 @@
 	}
 }
 
+// Engines crash on a part within a long answer without events, of which the client has got much.
+func TestPartThatCrashesEnginesWithinLongAnswersIsNotSentOn(t *testing.T) {
+	testPartIsNotSentOn(t, "/ask/", server.CrashInLongBody)
+}
+
 func testPartIsNotSentOn(t *testing.T, path string, how server.Behavior) {
 	is := is.New(t)
 	c := newCluster(t, 3)
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -282,7 +282,7 @@
 		j.suspectCrash(c, err)
 		return j.recordPossibleCrash(fmt.Sprintf("endpoint %s cut its answer: %v", c.endpoint.ID, err), err)
 	}
-	if success {
+	if success && complete {
 		j.recordWhole(c, resp)
 	}
 	full := &response{status: resp.Status, header: resp.Header, body: body, length: int64(len(body))}
@@ -298,9 +298,14 @@
 	}
 	j.releaseBody()
 	if err := j.writeResponse(full); err != nil {
+		j.suspectCrash(c, err)
 		j.r.cfg.Poison.RecordCrash(j.fingerprint, j.r.cfg.Clock.Now())
 		return false, newRejection(http.StatusBadGateway, 0, "endpoint %s did not complete its answer: %v", c.endpoint.ID, err)
 	}
+	// A client that left has cut the rest of the answer short.
+	if success && !complete && j.reason == "" {
+		j.recordWhole(c, resp)
+	}
 	return false, nil
 }
 
