--- a/core/coord/taint/decide.go
+++ b/core/coord/taint/decide.go
@@ -38,7 +38,7 @@
 }
 
 // countCrashes returns the number of crashes of some pairs. Those within waveTime, on answers
-// that had begun, are one, and lateByChance of those that came late don't count.
+// that had begun before all of them, are one, and lateByChance of those that came late don't count.
 func countCrashes(pairs map[string]*pair) int {
 	early, late := 0, 0
 	var begun []*pair
@@ -55,7 +55,7 @@
 	first := 0
 	for i, p := range begun {
 		switch {
-		case i > 0 && p.Crashed-begun[first].Crashed < waveTime:
+		case i > 0 && p.Crashed-begun[first].Crashed < waveTime && p.Crashed-p.Ran <= begun[first].Crashed:
 			continue
 		case p.Ran > OutliveMargin:
 			late++
--- a/core/coord/taint/load_test.go
+++ b/core/coord/taint/load_test.go
@@ -143,9 +143,10 @@
 		h.RecordCrash(fmt.Sprint("e", n), []string{"document"}, 200*time.Millisecond, at(10*n))
 	}
 	is.True(!h.rejects("document"))
+	// These answers began after the crash before.
 	for n := range 2 {
 		is.True(!h.rejects("document"))
-		h.RecordCrash(fmt.Sprint("later", n), []string{"document"}, 200*time.Millisecond, at(1000*(n+1)))
+		h.RecordCrash(fmt.Sprint("later", n), []string{"document"}, 10*time.Millisecond, at(60+40*n))
 	}
 	is.True(h.rejects("document"))
 }
