--- a/router/hosted/taint_test.go
+++ b/router/hosted/taint_test.go
@@ -243,17 +243,21 @@
 }
 
 // A prompt has crashed two engines. Its next request crashes one more: the retry must not be
-// sent while that crash is being confirmed.
+// sent while that crash is being confirmed, nor if the stream has begun.
 func TestRetryIsNotSentBeforeItsCrashIsConfirmed(t *testing.T) {
-	is := is.New(t)
-	c := newCluster(t, 1)
-	engines := c.startCrashing(6, server.Crash)
-	c.startServing()
-	for n := range 2 {
-		id := fmt.Sprint("tainted-", n)
-		c.sendPrompt(c.hosts[0], "POST", "/chat/", id, "key", id, fmt.Sprintf("aa:800,%s:400,e%d:100", taintedPart, n))
+	for name, how := range map[string]server.Behavior{"before-the-first-event": server.Crash, "after-the-first-event": server.CrashInStream} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 1)
+			engines := c.startCrashing(6, how)
+			c.startServing()
+			for n := range 2 {
+				id := fmt.Sprint("tainted-", n)
+				c.sendPrompt(c.hosts[0], "POST", "/chat/", id, "key", id, fmt.Sprintf("aa:800,%s:400,e%d:100", taintedPart, n))
+			}
+			is.Equal(engines.taintedRuns(), 3)
+		})
 	}
-	is.Equal(engines.taintedRuns(), 3)
 }
 
 // Engines that break connections off before the first event, but accept new ones, have not
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -28,8 +28,8 @@
 	if err := r.cfg.Poison.Check(j.fingerprint, maxCrashes, r.cfg.Clock.Now()); err != nil {
 		return false, newRejection(http.StatusServiceUnavailable, 0, "%v", err)
 	}
-	if err := j.checkParts(); err != nil {
-		return false, newRejection(http.StatusServiceUnavailable, 0, "%v", err)
+	if fault := j.checkParts(); fault != nil {
+		return false, fault
 	}
 	c, begun, fault := j.begin(ctx)
 	if fault != nil {
--- a/router/relay/crash.go
+++ b/router/relay/crash.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
 	"strconv"
 	"sync"
@@ -280,17 +281,17 @@
 	r.cfg.Logger.Info("crashes no longer count against prompt parts, an answer went on for longer", "id", id, "parts", parts, "crashes", crashes)
 }
 
-// checkParts rejects a request with a part that crashes engines. A stream that has begun
-// has no such part.
-func (j *job) checkParts() error {
-	if j.started || len(j.shared) == 0 || !j.isModel() {
+// checkParts rejects a request with a part that crashes engines, also if its stream has begun:
+// the engine may have crashed after some events.
+func (j *job) checkParts() *rejection {
+	if !j.hasSharedParts() {
 		return nil
 	}
-	err := j.r.cfg.Taint.Check(j.shared)
-	if err != nil {
+	if err := j.r.cfg.Taint.Check(j.shared); err != nil {
 		j.r.tainted.Inc()
+		return newRejection(http.StatusServiceUnavailable, 0, "%v", err)
 	}
-	return err
+	return nil
 }
 
 func sharedParts(p *call.Request) []string {
