--- a/router/hosted/cutoff_test.go
+++ b/router/hosted/cutoff_test.go
@@ -21,8 +21,9 @@
 
 // link is the path of a host to all endpoints. It can be cut.
 type link struct {
-	mu   sync.Mutex
-	mode linkMode
+	mu    sync.Mutex
+	mode  linkMode
+	conns []net.Conn
 	// changed is closed when the mode changes.
 	changed chan struct{}
 }
@@ -35,6 +36,8 @@
 	hangs
 	// refuses refuses new connections, while those in use live on.
 	refuses
+	// resets resets the connections in use and refuses new ones.
+	resets
 )
 
 func newLink() *link { return &link{changed: make(chan struct{})} }
@@ -45,6 +48,11 @@
 	l.mode = mode
 	close(l.changed)
 	l.changed = make(chan struct{})
+	if mode == resets {
+		for _, conn := range l.conns {
+			_ = conn.Close()
+		}
+	}
 }
 
 func (l *link) state() (linkMode, chan struct{}) {
@@ -58,7 +66,7 @@
 	case hangs:
 		<-ctx.Done()
 		return nil, context.Cause(ctx)
-	case refuses:
+	case refuses, resets:
 		return nil, syscall.ECONNREFUSED
 	}
 	var d net.Dialer
@@ -66,6 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, conn)
 	return &linkConn{Conn: conn, link: l}, nil
 }
 
@@ -75,10 +86,15 @@
 	link *link
 }
 
-// Read fails some time after the link was cut, as without acknowledgement.
+// Read fails some time after the link was cut, as without acknowledgement, or at once if it resets
+// connections.
 func (c *linkConn) Read(to []byte) (int, error) {
 	n, err := c.Conn.Read(to)
-	if mode, changed := c.link.state(); mode == hangs {
+	mode, changed := c.link.state()
+	if mode == resets && err != nil {
+		return 0, syscall.ECONNRESET
+	}
+	if mode == hangs {
 		select {
 		case <-changed:
 		case <-time.After(unacknowledged):
--- a/router/hosted/taint_test.go
+++ b/router/hosted/taint_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"cicadastand.dev/stand/server"
 )
@@ -285,3 +286,32 @@
 	is.Equal(c.hosts[0].log.count("endpoint crashed"), 0)
 	is.Equal(c.hosts[0].log.count("prompt part"), 0)
 }
+
+// All connections of a host to engines are reset, and new ones refused, while many prompts with one
+// part wait for their first events. The engines have not crashed: no part is rejected, here or at
+// the other hosts.
+func TestHostThatIsCutOffBlamesNoPart(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	c.link = newLink()
+	for i := range 6 {
+		c.startEndpoint(fmt.Sprint("engine-", i), "engines", "zone-0", server.Config{Name: "m", Events: 3, Pause: 300 * time.Millisecond})
+	}
+	c.startServing()
+	var all sync.WaitGroup
+	for n := range 18 {
+		id := fmt.Sprint("r", n)
+		all.Go(func() {
+			c.sendPrompt(c.hosts[0], "POST", "/chat/", id, "key", id, fmt.Sprintf("a%d:800,ab:400,e%d:100", n, n))
+		})
+	}
+	c.eventually("three engines have requests", func() bool {
+		return lo.CountBy(lo.Values(c.servers), func(e *server.Endpoint) bool { return len(e.Runs()) > 0 }) >= 3
+	})
+	c.link.set(resets)
+	all.Wait()
+	for _, h := range c.hosts {
+		is.Equal(h.log.count("endpoint crashed"), 0)
+		is.Equal(h.log.count("prompt part is rejected"), 0)
+	}
+}
