--- a/core/coord/taint/decide.go
+++ b/core/coord/taint/decide.go
@@ -29,8 +29,7 @@
 	depth int
 	// wasRejected is set if the part is rejected so far.
 	wasRejected bool
-	// pairs are all its pairs by endpoint, and open those that no rejected part explains and no
-	// live answer contests.
+	// pairs are all its pairs by endpoint, and open those that no rejected part explains.
 	pairs map[string]*pair
 	open  map[string]*pair
 	// crashes is the number of crashes in open.
@@ -141,25 +140,19 @@
 	return changes
 }
 
-// candidates returns the parts with pairs enough to be rejected; the caller holds the lock. A
-// live answer contests the crashes of a part until it has gone on for long enough to dismiss
-// them. It does not end a rejection, which would change back and forth.
+// candidates returns the parts with pairs enough to be rejected; the caller holds the lock.
 func (t *Table) candidates() []*candidate {
 	out := make([]*candidate, 0, len(t.crowded))
-	oldest := t.oldest()
 	for part, e := range t.crowded {
 		_, was := t.rejected[part]
-		c := &candidate{part: part, wasRejected: was, pairs: make(map[string]*pair, e.open), open: make(map[string]*pair, e.open)}
+		c := &candidate{part: part, wasRejected: was, pairs: make(map[string]*pair, e.open)}
 		for endpoint, p := range e.pairs {
-			if p.IsDismissed() {
-				continue
-			}
-			c.depth = max(c.depth, p.Depth)
-			c.pairs[endpoint] = p
-			if was || oldest[part] <= p.Ran+contestMargin {
-				c.open[endpoint] = p
+			if !p.IsDismissed() {
+				c.depth = max(c.depth, p.Depth)
+				c.pairs[endpoint] = p
 			}
 		}
+		c.open = maps.Clone(c.pairs)
 		c.crashes = countCrashes(c.open)
 		out = append(out, c)
 	}
--- a/core/coord/taint/load_test.go
+++ b/core/coord/taint/load_test.go
@@ -46,7 +46,6 @@
 	for _, a := range l.answers {
 		if now-a.began >= l.length {
 			a.h.RecordWhole(a.prompt, at(now))
-			a.answer.End()
 			continue
 		}
 		if (now-a.began)%eventInterval == 0 && now > a.began {
@@ -73,7 +72,6 @@
 			continue
 		}
 		ran := a.answer.RanFor(at(l.now))
-		a.answer.End()
 		if ran < taint.SettledTime {
 			a.h.RecordCrash(endpoint, a.prompt, ran, at(l.now))
 		}
@@ -159,8 +157,6 @@
 	prompt := []string{"document"}
 	for n := range 3 {
 		is.True(!h.rejects("document"))
-		a := h.Begin(prompt, at(500*n))
-		a.End()
 		h.RecordCrash(fmt.Sprint("e", n), prompt, 500*time.Millisecond, at(500*n+500))
 	}
 	a := h.Begin(prompt, at(2000))
@@ -173,7 +169,6 @@
 	is.True(!h.rejects("document"))
 	h.RecordCrash("e5", prompt, 100*time.Millisecond, at(2900)) // dismissed by what is known
 	is.Equal(a.Progress(at(3000)), 1)
-	a.End()
 }
 
 // Hosts learn of a crash, and of an answer that outlived it, in any order. All end up with the
--- a/core/coord/taint/replay_test.go
+++ b/core/coord/taint/replay_test.go
@@ -96,7 +96,6 @@
 	var ran time.Duration
 	if answer != nil {
 		ran = answer.RanFor(at(r.now))
-		answer.End()
 	}
 	if r.hasSentNext && attempt < r.attempts {
 		r.send(h, prompt, attempt+1)
--- a/core/coord/taint/taint.go
+++ b/core/coord/taint/taint.go
@@ -8,10 +8,9 @@
 // dismisses the pair. Hosts can merge pairs in any order and more than once.
 //
 // Engines also crash for other reasons, with many answers in progress. The parts of these are
-// in some crashes only: answers with them live on at other engines, and outlive the crash. While
-// such an answer lives, the crash does not count, also before it is dismissed. The part that
-// explains most crashes is rejected, if they are too many, and they no longer count against
-// other parts.
+// in some crashes only, and answers with them go on at other engines. Crashes on begun answers
+// that come together, or late, therefore count for less. The part that explains most crashes is
+// rejected, if they are too many, and they no longer count against other parts.
 package taint
 
 import (
@@ -108,8 +107,6 @@
 	crowded map[string]*evidence
 	// rejected holds, for each rejected part, the endpoints that count against it.
 	rejected map[string][]string
-	// live holds the answers in progress.
-	live map[*Answer]bool
 	// endured and enduredBefore hold the last answers by part, in two generations.
 	endured, enduredBefore map[string]endurance
 	enduredSince           time.Duration
@@ -122,7 +119,6 @@
 		parts:         make(map[string]*evidence),
 		crowded:       make(map[string]*evidence),
 		rejected:      make(map[string][]string),
-		live:          make(map[*Answer]bool),
 		endured:       make(map[string]endurance),
 		enduredBefore: make(map[string]endurance),
 	}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -43,6 +43,7 @@
 	j.attempts++
 	j.endpoint = c.endpoint.ID
 	j.tried[c.endpoint.ID] = true
+	j.answer = nil
 	j.recordPlacement(c, c.weights)
 	tracked := r.cfg.Loads.Track(c.endpoint.ID, j.rank(), c.prefillTokens, c.memory)
 	defer tracked.Done()
--- a/router/relay/evidence.go
+++ b/router/relay/evidence.go
@@ -89,14 +89,6 @@
 	}
 }
 
-// endAnswer records that the streamed answer of the current attempt has no more events.
-func (j *job) endAnswer() {
-	if j.answer != nil {
-		j.answer.End()
-		j.answer = nil
-	}
-}
-
 // recordWhole records an answer that an endpoint has sent to its end.
 func (j *job) recordWhole(c choice, resp *conns.Response) {
 	if resp.Unframed {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -122,7 +122,6 @@
 	}
 	source := j.newEventReader(resp)
 	defer source.held.release()
-	defer j.endAnswer()
 	first := true
 	for {
 		event, err := source.next()
