--- a/router/hosted/taint_test.go
+++ b/router/hosted/taint_test.go
@@ -25,8 +25,10 @@
 type crashing struct {
 	c *cluster
 	// how is the behavior of the engines at a request with the part.
-	how     server.Behavior
-	crashes atomic.Int64
+	how server.Behavior
+	// isOrderly is set if the engines don't crash but leave: they say so some time before they end.
+	isOrderly bool
+	crashes   atomic.Int64
 
 	mu      sync.Mutex
 	started int
@@ -38,12 +40,17 @@
 // restartAfter is how long it takes until a new engine is in place of a crashed one.
 const restartAfter = 250 * time.Millisecond
 
+// drainTime is the time from an engine's entry that says that it leaves to its end.
+const drainTime = time.Second
+
 // engineProcess is one incarnation of an engine.
 type engineProcess struct {
-	set  *crashing
-	id   string
-	http *http.Server
-	once sync.Once
+	set     *crashing
+	id      string
+	address string
+	engine  *server.Endpoint
+	http    *http.Server
+	once    sync.Once
 }
 
 // start starts one engine and adds its entry to the store.
@@ -58,8 +65,9 @@
 		return l.Close()
 	}
 	s.started++
-	p := &engineProcess{set: s, id: fmt.Sprint("i-", s.started)}
+	p := &engineProcess{set: s, id: fmt.Sprint("i-", s.started), address: l.Addr().String()}
 	e := server.New(server.Config{ID: p.id, Name: "m", Events: 2, Pause: 30 * time.Millisecond, Crash: p.crash})
+	p.engine = e
 	e.SetBehavior(func(r *http.Request) server.Behavior {
 		if strings.Contains(r.Header.Get("X-Prompt-Prefix"), taintedPart+":") {
 			return p.set.how
@@ -69,7 +77,11 @@
 	p.http = &http.Server{Handler: e}
 	s.engines, s.stopped = append(s.engines, e), append(s.stopped, p.http)
 	go p.run(l)
-	return s.c.store.Put("keyed.servers", p.id, e.Entry("engines", l.Addr().String(), "zone-0", "ready", 1))
+	return p.list("ready", 1)
+}
+
+func (p *engineProcess) list(state string, sequence int) error {
+	return p.set.c.store.Put("keyed.servers", p.id, p.engine.Entry("engines", p.address, "zone-0", state, sequence))
 }
 
 func (p *engineProcess) run(l net.Listener) { _ = p.http.Serve(l) }
@@ -80,6 +92,10 @@
 
 func (p *engineProcess) end() {
 	p.set.crashes.Add(1)
+	if p.set.isOrderly {
+		_ = p.list("draining", 2)
+		time.Sleep(drainTime) // hosts learn of it
+	}
 	_ = p.http.Close()
 	time.AfterFunc(restartAfter, p.replace)
 }
@@ -315,3 +331,21 @@
 		is.Equal(h.log.count("prompt part is rejected"), 0)
 	}
 }
+
+// Engines that leave end their last answers, and the processes end right after. The answers have
+// neither a length nor chunks: their ends are no crashes.
+func TestLastAnswersOfEnginesThatLeaveBlameNoPart(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	engines := c.startCrashing(6, server.CrashUnframed)
+	engines.isOrderly = true
+	c.startServing()
+	for n := range 6 {
+		id := fmt.Sprint("r", n)
+		got := c.sendPrompt(c.hosts[0], "POST", "/chat/", id, "key", id, fmt.Sprintf("aa:800,%s:400,e%d:100", taintedPart, n))
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+	}
+	is.Equal(engines.crashes.Load(), int64(6))
+	is.Equal(c.hosts[0].log.count("prompt part is rejected"), 0)
+}
--- a/router/relay/crash.go
+++ b/router/relay/crash.go
@@ -50,11 +50,9 @@
 // confirmation opens one connection to an endpoint on behalf of the requests that it has
 // broken off.
 type confirmation struct {
-	crashes     *crashes
-	service     string
-	target      conns.Target
-	incarnation string
-	suspects    []suspectRequest
+	crashes  *crashes
+	endpoint *site.Endpoint
+	suspects []suspectRequest
 	// ended is closed once the suspects are recorded, or the endpoint has not crashed.
 	ended chan struct{}
 }
@@ -84,12 +82,12 @@
 // confirmation in progress, or nil.
 func (c *crashes) suspect(e *site.Endpoint, s suspectRequest) *confirmation {
 	key := incarnation(e)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if _, ok := c.confirmed[key]; ok {
-		c.recordCrash(key, s)
+	if c.isConfirmed(e) {
+		c.recordCrash(e, s)
 		return nil
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if running := c.running[key]; running != nil {
 		if len(running.suspects) < maxSuspects {
 			running.suspects = append(running.suspects, s)
@@ -99,14 +97,7 @@
 	if len(c.running) >= maxConfirmations {
 		return nil
 	}
-	started := &confirmation{
-		crashes:     c,
-		service:     e.Service,
-		target:      conns.Target{Incarnation: e.ID, Address: e.Address},
-		incarnation: key,
-		suspects:    []suspectRequest{s},
-		ended:       make(chan struct{}),
-	}
+	started := &confirmation{crashes: c, endpoint: e, suspects: []suspectRequest{s}, ended: make(chan struct{})}
 	c.running[key] = started
 	go started.run(context.Background())
 	return started
@@ -114,52 +105,59 @@
 
 func (f *confirmation) run(ctx context.Context) {
 	defer close(f.ended)
-	c := f.crashes
-	err := c.r.cfg.Conns.Probe(ctx, f.target)
+	c, key := f.crashes, incarnation(f.endpoint)
+	err := c.probe(ctx, f.endpoint)
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	crashed := refused && f.reachesOthers(ctx)
 	c.mu.Lock()
-	delete(c.running, f.incarnation)
+	delete(c.running, key)
 	if crashed {
-		c.confirmed[f.incarnation] = f.target.Incarnation
+		c.confirmed[key] = f.endpoint.ID
 	}
 	c.mu.Unlock()
-	if err == nil {
+	switch {
+	case crashed:
+		f.recordCrash(err)
+	case refused:
+		c.r.cfg.Logger.Info("refused connection is no crash, other endpoints are out of reach too", "id", f.suspects[0].id,
+			"endpoint", key, "service", f.endpoint.Service, "requests", len(f.suspects))
+	case err == nil:
 		c.recordWhole(f.suspects)
 	}
-	if !crashed {
-		if refused {
-			c.r.cfg.Logger.Info("refused connection is no crash, other endpoints are out of reach too", "id", f.suspects[0].id,
-				"endpoint", f.target.Incarnation, "service", f.service, "requests", len(f.suspects))
-		}
-		return
-	}
+}
+
+// recordCrash records the crash that a refused connection shows.
+func (f *confirmation) recordCrash(err error) {
 	for _, s := range f.suspects {
-		c.recordCrash(f.incarnation, s)
+		f.crashes.recordCrash(f.endpoint, s)
 	}
 	parts := lo.Uniq(lo.FlatMap(f.suspects, func(s suspectRequest, _ int) []string { return s.parts }))
 	slices.Sort(parts)
 	longest := lo.MaxBy(f.suspects, func(a, b suspectRequest) bool { return a.ran > b.ran }).ran
-	c.r.cfg.Logger.Warn("endpoint crashed on requests", "id", f.suspects[0].id, "endpoint", f.target.Incarnation,
+	f.crashes.r.cfg.Logger.Warn("endpoint crashed on requests", "id", f.suspects[0].id, "endpoint", f.endpoint.ID,
 		"requests", len(f.suspects), "parts", parts, "ms-after-first-event", longest.Milliseconds(), "error", err)
 }
 
+func (c *crashes) probe(ctx context.Context, e *site.Endpoint) error {
+	return c.r.cfg.Conns.Probe(ctx, conns.Target{Incarnation: e.ID, Address: e.Address})
+}
+
 // reachesOthers reports whether another endpoint of the service accepts a connection. A host that
 // is cut off may be refused by all of them, and is not found to be cut off at once. Endpoints that
 // are known to have crashed don't tell; if there are no others, the crash is believed.
 func (f *confirmation) reachesOthers(ctx context.Context) bool {
 	c := f.crashes
-	if c.r.cfg.Reach.IsCutOff(f.service) {
+	if c.r.cfg.Reach.IsCutOff(f.endpoint.Service) {
 		return false
 	}
-	others := lo.Filter(c.r.cfg.Mirror.View().ByService[f.service], func(e *site.Endpoint, _ int) bool {
-		return e.ID != f.target.Incarnation && !c.isConfirmed(e)
+	others := lo.Filter(c.r.cfg.Mirror.View().ByService[f.endpoint.Service], func(e *site.Endpoint, _ int) bool {
+		return e.ID != f.endpoint.ID && !c.isConfirmed(e)
 	})
 	if len(others) == 0 {
 		return true
 	}
 	for _, e := range lo.Samples(others, maxOthers) {
-		if c.r.cfg.Conns.Probe(ctx, conns.Target{Incarnation: e.ID, Address: e.Address}) == nil {
+		if c.probe(ctx, e) == nil {
 			return true
 		}
 	}
@@ -175,16 +173,27 @@
 }
 
 // recordCrash records a crash against a request. One that was broken off is counted for its
-// fingerprint when that happens.
-func (c *crashes) recordCrash(incarnation string, s suspectRequest) {
+// fingerprint when that happens. One that looks whole is, if the endpoint left in order.
+func (c *crashes) recordCrash(e *site.Endpoint, s suspectRequest) {
+	if s.mayBeWhole && !c.isListed(e) {
+		return
+	}
 	if s.ran < taint.SettledTime {
-		c.r.cfg.Taint.RecordCrash(incarnation, s.parts, s.ran, c.r.cfg.Clock.Boot())
+		c.r.cfg.Taint.RecordCrash(incarnation(e), s.parts, s.ran, c.r.cfg.Clock.Boot())
 	}
 	if s.mayBeWhole {
 		c.r.cfg.Poison.RecordCrash(s.fingerprint, c.r.cfg.Clock.Now())
 	}
 }
 
+// isListed reports whether an incarnation of an endpoint still accepts requests, as far as it has
+// said.
+func (c *crashes) isListed(e *site.Endpoint) bool {
+	return lo.ContainsBy(c.r.cfg.Mirror.View().ByService[e.Service], func(listed *site.Endpoint) bool {
+		return incarnation(listed) == incarnation(e)
+	})
+}
+
 // recordWhole records the answers that look whole, from an endpoint that has not crashed.
 func (c *crashes) recordWhole(suspects []suspectRequest) {
 	for _, s := range suspects {
