--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -97,6 +97,10 @@
 // checkChoice returns a rejection if the request must not be sent to its endpoint.
 func (j *job) checkChoice(c choice) *rejection {
 	r := j.r
+	// The part may have been rejected while the request waited for room or a permit.
+	if fault := j.checkParts(); fault != nil {
+		return fault
+	}
 	if j.isModel() {
 		if ok, wait := shed.Decide(j.shedRequest(c)); !ok {
 			return newRejection(http.StatusServiceUnavailable, wait, "first token is expected in %d ms, and %.1f requests wait for each engine", c.firstToken.Milliseconds(), c.waiting)
--- a/router/relay/crash.go
+++ b/router/relay/crash.go
@@ -82,7 +82,8 @@
 // confirmation in progress, or nil.
 func (c *crashes) suspect(e *site.Endpoint, s suspectRequest) *confirmation {
 	key := incarnation(e)
-	if c.isConfirmed(e) {
+	// An answer that looks whole shows that the endpoint may be well after all.
+	if !s.mayBeWhole && c.isConfirmed(e) {
 		c.recordCrash(e, s)
 		return nil
 	}
