--- a/core/coord/taint/load_test.go
+++ b/core/coord/taint/load_test.go
@@ -73,7 +73,7 @@
 		}
 		ran := a.answer.RanFor(at(l.now))
 		if ran < taint.SettledTime {
-			a.h.RecordCrash(endpoint, a.prompt, ran, at(l.now))
+			a.h.crash(endpoint, a.prompt, ran, at(l.now))
 		}
 	}
 	l.answers = live
@@ -138,13 +138,13 @@
 	is := is.New(t)
 	h := newHost()
 	for n := range 6 {
-		h.RecordCrash(fmt.Sprint("e", n), []string{"document"}, 200*time.Millisecond, at(10*n))
+		h.crash(fmt.Sprint("e", n), []string{"document"}, 200*time.Millisecond, at(10*n))
 	}
 	is.True(!h.rejects("document"))
 	// These answers began after the crash before.
 	for n := range 2 {
 		is.True(!h.rejects("document"))
-		h.RecordCrash(fmt.Sprint("later", n), []string{"document"}, 10*time.Millisecond, at(60+40*n))
+		h.crash(fmt.Sprint("later", n), []string{"document"}, 10*time.Millisecond, at(60+40*n))
 	}
 	is.True(h.rejects("document"))
 }
@@ -157,7 +157,7 @@
 	prompt := []string{"document"}
 	for n := range 3 {
 		is.True(!h.rejects("document"))
-		h.RecordCrash(fmt.Sprint("e", n), prompt, 500*time.Millisecond, at(500*n+500))
+		h.crash(fmt.Sprint("e", n), prompt, 500*time.Millisecond, at(500*n+500))
 	}
 	a := h.Begin(prompt, at(2000))
 	const step = 20 // ms
@@ -168,13 +168,13 @@
 		return dismissed
 	}
 	is.Equal(goOn(2000, 2500), 0)
-	h.RecordCrash("e3", prompt, 500*time.Millisecond, at(2510))
+	h.crash("e3", prompt, 500*time.Millisecond, at(2510))
 	is.True(h.rejects("document")) // the answer has gone on as long as those that crashed
 	is.Equal(goOn(2500, 2780), 0)
-	h.RecordCrash("e4", prompt, 700*time.Millisecond, at(2795))
+	h.crash("e4", prompt, 700*time.Millisecond, at(2795))
 	is.Equal(goOn(2780, 2900), 4)
 	is.True(!h.rejects("document"))
-	h.RecordCrash("e5", prompt, 100*time.Millisecond, at(2910)) // dismissed by what is known
+	h.crash("e5", prompt, 100*time.Millisecond, at(2910)) // dismissed by what is known
 	is.Equal(goOn(2900, 3020), 1)
 }
 
@@ -185,13 +185,13 @@
 	h := newHost()
 	prompt := []string{"document"}
 	for n := range 3 {
-		h.RecordCrash(fmt.Sprint("e", n), prompt, 10*time.Millisecond, at(500*n))
+		h.crash(fmt.Sprint("e", n), prompt, 10*time.Millisecond, at(500*n))
 	}
 	a := h.Begin(prompt, at(2000))
 	is.Equal(a.Progress(at(6000)), 0)
 	is.Equal(a.Progress(at(6001)), 0)
 	is.True(h.rejects("document"))
-	h.RecordCrash("e3", prompt, a.RanFor(at(6010)), at(6010))
+	h.crash("e3", prompt, a.RanFor(at(6010)), at(6010))
 	is.Equal(h.Pairs(maxMessage, at(6010))[0].IsDismissed(), false)
 }
 
--- a/core/coord/taint/replay_test.go
+++ b/core/coord/taint/replay_test.go
@@ -100,7 +100,7 @@
 	if r.hasSentNext && attempt < r.attempts {
 		r.send(h, prompt, attempt+1)
 	}
-	h.RecordCrash(endpoint, prompt, ran, at(r.now))
+	h.crash(endpoint, prompt, ran, at(r.now))
 	if r.load != nil {
 		r.load.crash(r.load.rnd.IntN(r.load.engines), endpoint)
 	}
--- a/core/coord/taint/taint.go
+++ b/core/coord/taint/taint.go
@@ -136,13 +136,23 @@
 	return nil
 }
 
-// RecordCrash records the crash of an endpoint that had a request with the parts, in the order of
-// its prompt. ran is the time from the first event of the answer to the crash; 0 if there was
-// none. Answers that have settled are not to be recorded.
-func (t *Table) RecordCrash(endpoint string, parts []string, ran, now time.Duration) {
+// Crash is a crash of an endpoint that had a request whose answer had not settled.
+type Crash struct {
+	// Endpoint is the incarnation that crashed.
+	Endpoint string
+	// Parts are those of the request, in the order of its prompt.
+	Parts []string
+	// At is when the endpoint broke the request off, as time since boot.
+	At time.Duration
+	// Ran is the time from the first event of the answer to the crash; 0 if there was none.
+	Ran time.Duration
+}
+
+// RecordCrash records a crash against the parts of a request.
+func (t *Table) RecordCrash(c Crash, now time.Duration) {
 	t.mu.Lock()
-	for depth, part := range parts {
-		t.join(Pair{Part: part, Endpoint: endpoint, Depth: depth, Crashed: now, Ran: ran}, now)
+	for depth, part := range c.Parts {
+		t.join(Pair{Part: part, Endpoint: c.Endpoint, Depth: depth, Crashed: c.At, Ran: c.Ran}, now)
 	}
 	t.trim(now)
 	changes := t.decide()
--- a/core/coord/taint/taint_test.go
+++ b/core/coord/taint/taint_test.go
@@ -29,6 +29,11 @@
 	return h
 }
 
+// crash records a crash of an endpoint some time after the first event of an answer; 0 for none.
+func (h *host) crash(endpoint string, parts []string, ran, now time.Duration) {
+	h.RecordCrash(taint.Crash{Endpoint: endpoint, Parts: parts, At: now, Ran: ran}, now)
+}
+
 func (h *host) report(c taint.Change) { h.changes = append(h.changes, c) }
 
 func (h *host) rejects(part string) bool { return h.Check([]string{part}) != nil }
@@ -43,7 +48,7 @@
 	const gap = 5000 // ms; the crashes are so far apart that no part counts as in use
 	for n := range 3 {
 		is.True(!h.rejects("document"))
-		h.RecordCrash(fmt.Sprint("e", n), []string{"system", "document"}, 0, at(n*gap))
+		h.crash(fmt.Sprint("e", n), []string{"system", "document"}, 0, at(n*gap))
 	}
 	err := h.Check([]string{"system", "document"})
 	is.Equal(err.Error(), "part document of the prompt crashed 3 engines")
@@ -55,7 +60,7 @@
 	h.RecordWhole([]string{"system", "other"}, at(4*gap))
 	is.True(h.rejects("document"))
 	for n := range 5 { // requests that were on their way
-		h.RecordCrash(fmt.Sprint("late", n), []string{"system", "document"}, 0, at(5*gap+n))
+		h.crash(fmt.Sprint("late", n), []string{"system", "document"}, 0, at(5*gap+n))
 	}
 	is.True(!h.rejects("system"))
 }
@@ -67,9 +72,9 @@
 	for n := range 4 {
 		endpoint := fmt.Sprint("e", n)
 		if n > 0 {
-			h.RecordCrash(endpoint, []string{"system", "neighbour"}, 0, at(n*5000))
+			h.crash(endpoint, []string{"system", "neighbour"}, 0, at(n*5000))
 		}
-		h.RecordCrash(endpoint, []string{"system", "document"}, 0, at(n*5000))
+		h.crash(endpoint, []string{"system", "document"}, 0, at(n*5000))
 	}
 	is.True(h.rejects("document"))
 	is.True(!h.rejects("neighbour")) // it was in flight at three of the four
@@ -85,7 +90,7 @@
 	h.RecordWhole([]string{"system", "document-0"}, at(0))
 	for n := range 40 {
 		for r := range 8 {
-			h.RecordCrash(fmt.Sprint("e", n), []string{"system", fmt.Sprint("document-", (n*8+r)/2)}, 0, at(500+n))
+			h.crash(fmt.Sprint("e", n), []string{"system", fmt.Sprint("document-", (n*8+r)/2)}, 0, at(500+n))
 		}
 	}
 	is.NoErr(h.Check([]string{"system"}))
@@ -102,7 +107,7 @@
 	is := is.New(t)
 	h := newHost()
 	for n := range 3 {
-		h.RecordCrash(fmt.Sprint("e", n), []string{"system"}, 0, at(n))
+		h.crash(fmt.Sprint("e", n), []string{"system"}, 0, at(n))
 	}
 	is.True(h.rejects("system"))
 	h.RecordWhole([]string{"system"}, at(600))
@@ -117,7 +122,7 @@
 	var messages [][]taint.Pair
 	for n := range 3 {
 		h := newHost()
-		h.RecordCrash(fmt.Sprint("e", n), []string{"system", "document"}, 0, at(n))
+		h.crash(fmt.Sprint("e", n), []string{"system", "document"}, 0, at(n))
 		messages = append(messages, h.Pairs(maxMessage, at(n)))
 	}
 	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
@@ -140,7 +145,7 @@
 func TestDismissedWins(t *testing.T) {
 	suspected := newHost()
 	for n := range 3 {
-		suspected.RecordCrash(fmt.Sprint("e", n), []string{"system"}, 0, at(n))
+		suspected.crash(fmt.Sprint("e", n), []string{"system"}, 0, at(n))
 	}
 	dismissing := newHost()
 	dismissing.Merge(suspected.Pairs(maxMessage, at(10)), at(10))
@@ -175,9 +180,9 @@
 	is := is.New(t)
 	h := newHost()
 	for n := range 3 {
-		h.RecordCrash(fmt.Sprint("e", n), []string{"system", "document"}, 0, at(n))
+		h.crash(fmt.Sprint("e", n), []string{"system", "document"}, 0, at(n))
 	}
-	h.RecordCrash("e9", []string{"system", "once"}, 0, at(9))
+	h.crash("e9", []string{"system", "once"}, 0, at(9))
 	restarted := newHost()
 	sent := 0
 	const interval, span = 60, 60_000 // ms
@@ -197,7 +202,7 @@
 	is := is.New(t)
 	h := newHost()
 	for n := range 3 {
-		h.RecordCrash(fmt.Sprint("e", n), []string{"document"}, 0, at(n))
+		h.crash(fmt.Sprint("e", n), []string{"document"}, 0, at(n))
 	}
 	h.Sweep(at(0) + retention)
 	is.True(h.rejects("document"))
@@ -205,7 +210,7 @@
 	is.True(!h.rejects("document"))
 	const crashes, bound = 10_000, 4096
 	for n := range crashes {
-		h.RecordCrash(fmt.Sprint("e", n), []string{fmt.Sprint("p", n)}, 0, at(n)/1000)
+		h.crash(fmt.Sprint("e", n), []string{fmt.Sprint("p", n)}, 0, at(n)/1000)
 	}
 	is.True(len(h.Pairs(maxMessage, at(crashes)/1000)) <= bound)
 }
--- a/router/relay/crash.go
+++ b/router/relay/crash.go
@@ -63,6 +63,8 @@
 	id          string
 	fingerprint poison.Fingerprint
 	parts       []string
+	// at is when it ended, as time since boot.
+	at time.Duration
 	// ran is the time since the first event of the answer; 0 if there was none.
 	ran time.Duration
 	// mayBeWhole is set if the answer looks whole: it is, unless the endpoint has crashed.
@@ -118,17 +120,17 @@
 	c.mu.Unlock()
 	switch {
 	case crashed:
-		f.recordCrash(err)
+		f.recordSuspects(err)
 	case refused:
 		c.r.cfg.Logger.Info("refused connection is no crash, other endpoints are out of reach too", "id", f.suspects[0].id,
-			"endpoint", key, "service", f.endpoint.Service, "requests", len(f.suspects))
+			"endpoint", f.endpoint.ID, "service", f.endpoint.Service, "requests", len(f.suspects))
 	case err == nil:
 		c.recordWhole(f.suspects)
 	}
 }
 
-// recordCrash records the crash that a refused connection shows.
-func (f *confirmation) recordCrash(err error) {
+// recordSuspects records the crash that a refused connection shows.
+func (f *confirmation) recordSuspects(err error) {
 	for _, s := range f.suspects {
 		f.crashes.recordCrash(f.endpoint, s)
 	}
@@ -180,7 +182,7 @@
 		return
 	}
 	if s.ran < taint.SettledTime {
-		c.r.cfg.Taint.RecordCrash(incarnation(e), s.parts, s.ran, c.r.cfg.Clock.Boot())
+		c.r.cfg.Taint.RecordCrash(taint.Crash{Endpoint: incarnation(e), Parts: s.parts, At: s.at, Ran: s.ran}, c.r.cfg.Clock.Boot())
 	}
 	if s.mayBeWhole {
 		c.r.cfg.Poison.RecordCrash(s.fingerprint, c.r.cfg.Clock.Now())
--- a/router/relay/evidence.go
+++ b/router/relay/evidence.go
@@ -46,12 +46,12 @@
 }
 
 func (j *job) suspectRequest() suspectRequest {
-	s := suspectRequest{id: j.params.ID, fingerprint: j.fingerprint}
+	s := suspectRequest{id: j.params.ID, fingerprint: j.fingerprint, at: j.r.cfg.Clock.Boot()}
 	if j.hasSharedParts() {
 		s.parts = j.shared
 	}
 	if j.answer != nil {
-		s.ran = j.answer.RanFor(j.r.cfg.Clock.Boot())
+		s.ran = j.answer.RanFor(s.at)
 	}
 	return s
 }
--- a/router/relay/evidence_test.go
+++ b/router/relay/evidence_test.go
@@ -24,7 +24,7 @@
 	}
 	is.True(j.checkParts() == nil)
 	for n := range 3 {
-		table.RecordCrash(fmt.Sprint("e", n), j.shared, 0, time.Hour)
+		table.RecordCrash(taint.Crash{Endpoint: fmt.Sprint("e", n), Parts: j.shared, At: time.Hour}, time.Hour)
 	}
 	fault := j.checkChoice(choice{endpoint: &site.Endpoint{}})
 	is.Equal(fault.status, http.StatusServiceUnavailable)
