--- a/router/hosted/taint_test.go
+++ b/router/hosted/taint_test.go
@@ -174,7 +174,12 @@
 // part with them. Only the requests with that part are rejected, after few crashes, also if
 // the engines send the first event of each answer before they crash.
 func TestPromptPartThatCrashesEnginesIsNotSentOn(t *testing.T) {
-	for name, how := range map[string]server.Behavior{"before-the-first-event": server.Crash, "after-the-first-event": server.CrashInStream, "at-an-end-without-error": server.CrashUnframed} {
+	for name, how := range map[string]server.Behavior{
+		"before-the-first-event":  server.Crash,
+		"after-the-first-event":   server.CrashInStream,
+		"at-an-end-without-error": server.CrashUnframed,
+		"with-a-rest-that-ends":   server.CrashInNewStream,
+	} {
 		t.Run(name, func(t *testing.T) { testPartIsNotSentOn(t, "/chat/", how) })
 	}
 }
--- a/router/relay/crash.go
+++ b/router/relay/crash.go
@@ -69,6 +69,8 @@
 	ran time.Duration
 	// mayBeWhole is set if the answer looks whole: it is, unless the endpoint has crashed.
 	mayBeWhole bool
+	// isRest is set if it is the rest of a stream only.
+	isRest bool
 }
 
 // incarnation identifies one start of an endpoint, which may keep its ID.
@@ -200,8 +202,11 @@
 // recordWhole records the answers that look whole, from an endpoint that has not crashed.
 func (c *crashes) recordWhole(suspects []suspectRequest) {
 	for _, s := range suspects {
-		if s.mayBeWhole {
-			c.r.cfg.Poison.RecordCompletion(s.fingerprint)
+		if !s.mayBeWhole {
+			continue
+		}
+		c.r.cfg.Poison.RecordCompletion(s.fingerprint)
+		if !s.isRest {
 			if crashes := c.r.cfg.Taint.RecordWhole(s.parts, c.r.cfg.Clock.Boot()); crashes > 0 {
 				c.r.logDismissed(crashes, s.id, s.parts)
 			}
--- a/router/relay/evidence.go
+++ b/router/relay/evidence.go
@@ -89,14 +89,15 @@
 	}
 }
 
-// recordWhole records an answer that an endpoint has sent to its end.
+// recordWhole records an answer that an endpoint has sent to its end. The rest of a stream may be
+// shorter than what an endpoint writes before it crashes, so it tells only by how long it took.
 func (j *job) recordWhole(c choice, resp *conns.Response) {
 	if resp.Unframed {
 		j.confirmWhole(c)
 		return
 	}
 	j.r.cfg.Poison.RecordCompletion(j.fingerprint)
-	if !j.hasSharedParts() {
+	if !j.hasSharedParts() || j.isRest {
 		return
 	}
 	if crashes := j.r.cfg.Taint.RecordWhole(j.shared, j.r.cfg.Clock.Boot()); crashes > 0 {
@@ -109,7 +110,7 @@
 // evidence of nothing.
 func (j *job) confirmWhole(c choice) {
 	s := j.suspectRequest()
-	s.mayBeWhole = true
+	s.mayBeWhole, s.isRest = true, j.isRest
 	if j.isModel() || j.r.cfg.Poison.IsSuspect(j.fingerprint, j.r.cfg.Clock.Now()) {
 		j.r.crashes.suspect(c.endpoint, s)
 	}
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -109,6 +109,8 @@
 	// answer is the streamed answer of the current attempt to a prompt with shared parts; nil
 	// before its first event.
 	answer *taint.Answer
+	// isRest is set if the current attempt continues a stream, so that its answer is no whole one.
+	isRest bool
 	// confirmation is in progress for the endpoint that broke off the last attempt; nil if
 	// none is.
 	confirmation *confirmation
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -120,6 +120,7 @@
 	if j.started && resp.Header.Get("Content-Type") != j.streamType {
 		return j.recordPossibleCrash(fmt.Sprintf("endpoint %s continued the stream with a body of type %q", c.endpoint.ID, resp.Header.Get("Content-Type")), nil)
 	}
+	j.isRest = max(j.lastEvent, j.params.LastEvent) > 0
 	source := j.newEventReader(resp)
 	defer source.held.release()
 	first := true
--- a/stand/server/server.go
+++ b/stand/server/server.go
@@ -96,6 +96,9 @@
 	// CrashUnframed is like CrashInStream, with neither a length nor chunks: the end of the
 	// connection is all that there is to see.
 	CrashUnframed
+	// CrashInNewStream is like CrashInStream, but only for streams that begin. The rest of one is
+	// sent whole.
+	CrashInNewStream
 	// CrashInLongBody is like BreakLongBody, but crashes within the body.
 	CrashInLongBody
 )
@@ -336,7 +339,7 @@
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", id, id)
 		_ = control.Flush()
-		if behavior == CrashInStream || behavior == CrashUnframed {
+		if behavior == CrashInStream || behavior == CrashUnframed || behavior == CrashInNewStream && last == 0 {
 			time.Sleep(e.cfg.Pause) // the event arrives meanwhile
 			e.cfg.Crash()
 			panic(http.ErrAbortHandler)
