--- a/core/coord/taint/replay_test.go
+++ b/core/coord/taint/replay_test.go
@@ -85,6 +85,9 @@
 	}
 	r.later(crashDelay, func() {
 		answer := h.Begin(prompt, at(r.now))
+		for ms := eventInterval; ms < r.ran; ms += eventInterval {
+			r.later(ms, func() { answer.Progress(at(r.now)) })
+		}
 		r.later(r.ran, func() { r.crash(h, prompt, answer, attempt) })
 	})
 }
